Lay out the workspace; query owner, small language, configuration and retry rule

The logic without I/O comes first: a desk that plans, dispatches, checks coverage and merges; configurations read with all findings at their places; the retry rule kept per thread so that shares add up over the fleet. Seen: the rule's test fails when every thread takes the slack whole.

--- /dev/null
+++ b/crates/grebe/src/digest.rs
@@ -0,0 +1,22 @@
+//! Digests of questions and stable hashes of names.
+
+use sha2::{Digest, Sha256};
+
+/// Hex digest (128 bits) that ties a dispatch to the exact bytes it asks.
+pub fn digest(bytes: &[u8]) -> String {
+    let sum = Sha256::digest(bytes);
+    sum[..16].iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// A hash of a name that is the same in every process and every version.
+pub fn hash(name: &str) -> u64 {
+    let sum = Sha256::digest(name.as_bytes());
+    let mut raw = [0u8; 8];
+    raw.copy_from_slice(&sum[..8]);
+    u64::from_le_bytes(raw)
+}
+
+/// A cheap stable hash of two numbers, for rendezvous ranks on the hot path.
+pub fn pair(a: u64, b: u64) -> u64 {
+    crate::luck::mix(a ^ crate::luck::mix(b))
+}
--- /dev/null
+++ b/crates/grebe/src/edge/caller.rs
@@ -0,0 +1,155 @@
+//! What callers send and get.
+
+use serde_json::{Value, json};
+
+use crate::consts;
+use crate::query::ask::{Ask, Bounce, Full, Outcome, Reason};
+use crate::time::ms;
+
+/// Header with the time the caller will wait, in milliseconds.
+pub const BUDGET: &str = "budget-ms";
+/// Header with the count of planned shards that the answer leaves out.
+pub const MISSING_PARTS: &str = "missing-parts";
+/// Header that tells a bounced caller when to come back, in seconds.
+pub const RETRY_AFTER: &str = "retry-after";
+
+/// An answer towards a caller, ready for any HTTP library.
+pub struct Written {
+    pub status: u16,
+    pub missing: Option<usize>,
+    pub retry_after: Option<u64>,
+    pub body: Vec<u8>,
+}
+
+/// Reads a call. `q`, `key` and `limit` come from a GET's parameters.
+pub fn read_get(
+    mapping: &str,
+    budget: Option<&str>,
+    params: &[(String, String)],
+) -> Result<Ask, Bounce> {
+    let mut map = serde_json::Map::new();
+    for (key, val) in params {
+        let val = match key.as_str() {
+            "q" => ("question", Value::String(val.clone())),
+            "key" => ("key", Value::String(val.clone())),
+            "limit" => match val.parse::<u64>() {
+                Ok(n) => ("limit", Value::from(n)),
+                Err(_) => return Err(bad("`limit` is not a whole number")),
+            },
+            other => return Err(bad(format!("unknown parameter `{other}`"))),
+        };
+        if map.insert(val.0.to_string(), val.1).is_some() {
+            return Err(bad(format!("parameter `{key}` stands twice")));
+        }
+    }
+    read(mapping, budget, map)
+}
+
+/// Reads a call from a POST's body.
+pub fn read_post(mapping: &str, budget: Option<&str>, body: &[u8]) -> Result<Ask, Bounce> {
+    if body.len() > consts::QUESTION_LIMIT {
+        return Err(Bounce::new(Reason::TooLarge, "the question is larger than 64 KiB"));
+    }
+    match serde_json::from_slice(body) {
+        Ok(Value::Object(map)) => read(mapping, budget, map),
+        Ok(_) => Err(bad("the body is not a JSON object")),
+        Err(e) => Err(bad(format!("the body is not JSON: {e}"))),
+    }
+}
+
+fn read(
+    mapping: &str,
+    budget: Option<&str>,
+    map: serde_json::Map<String, Value>,
+) -> Result<Ask, Bounce> {
+    let Some(text) = budget else {
+        return Err(bad("the header Budget-Ms is missing: say how long you will wait"));
+    };
+    let budget = match text.trim().parse::<u64>() {
+        Ok(n) if (1..=consts::BUDGET_MAX_MS).contains(&n) => ms(n),
+        _ => {
+            let max = consts::BUDGET_MAX_MS;
+            return Err(bad(format!("Budget-Ms must be a whole number from 1 to {max}")));
+        }
+    };
+    for key in map.keys() {
+        if !["question", "key", "limit"].contains(&key.as_str()) {
+            return Err(bad(format!("unknown field `{key}`; known are question, key, limit")));
+        }
+    }
+    let Some(question) = map.get("question").cloned() else {
+        return Err(bad("the field `question` is missing"));
+    };
+    let key = match map.get("key") {
+        None => None,
+        Some(Value::String(s)) if !s.is_empty() => Some(s.clone()),
+        Some(_) => return Err(bad("`key` must be a text that is not empty")),
+    };
+    let limit = match map.get("limit") {
+        None => consts::RECORDS_DEFAULT,
+        Some(val) => match val.as_u64() {
+            Some(n) if (1..=u64::from(consts::RECORDS_MAX)).contains(&n) => n as u32,
+            _ => {
+                let max = consts::RECORDS_MAX;
+                return Err(bad(format!("`limit` must be a whole number from 1 to {max}")));
+            }
+        },
+    };
+    if question.to_string().len() > consts::QUESTION_LIMIT {
+        return Err(Bounce::new(Reason::TooLarge, "the question is larger than 64 KiB"));
+    }
+    Ok(Ask { mapping: mapping.to_string(), question, key, limit, budget })
+}
+
+fn bad(text: impl Into<String>) -> Bounce {
+    Bounce::new(Reason::BadCall, text)
+}
+
+/// The status for a reason.
+pub fn status(reason: Reason) -> u16 {
+    match reason {
+        Reason::BadCall | Reason::NoKey => 400,
+        Reason::NoMapping => 404,
+        Reason::TooLarge => 413,
+        Reason::Crowded => 429,
+        Reason::NoRoom | Reason::Stopping | Reason::CutOff | Reason::NoView => 503,
+        Reason::BelowQuorum | Reason::NoLeafs => 503,
+        Reason::OutOfTime => 504,
+    }
+}
+
+/// Writes an outcome.
+pub fn write(out: &Outcome) -> Written {
+    match out {
+        Outcome::Full(full) => write_full(full),
+        Outcome::Bounce(b) => {
+            let code = status(b.reason);
+            let body = json!({ "error": b.reason.to_string(), "text": b.text, "query": b.query });
+            let again = (code == 429 || code >= 500).then_some(consts::RETRY_AFTER_S);
+            Written {
+                status: code,
+                missing: None,
+                retry_after: again,
+                body: body.to_string().into_bytes(),
+            }
+        }
+    }
+}
+
+fn write_full(full: &Full) -> Written {
+    let records: Vec<Value> = full
+        .records
+        .iter()
+        .map(|r| json!({ "id": r.id, "score": r.score, "shard": r.shard, "data": r.data }))
+        .collect();
+    let body = json!({
+        "query": full.query, "mapping": full.mapping, "cut": full.cut, "revision": full.revision,
+        "shards": full.shards, "missing": full.missing, "records": records,
+    });
+    Written {
+        status: 200,
+        missing: Some(full.missing),
+        retry_after: None,
+        body: body.to_string().into_bytes(),
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/edge/list.rs
@@ -0,0 +1,60 @@
+//! The platform's list of leafs.
+
+use serde_json::Value;
+
+use crate::lang::finding::{Finding, find};
+use crate::lang::selector::Labels;
+use crate::view::leafs::LeafInfo;
+
+/// Path under which the platform serves its list.
+pub const PATH: &str = "/leafs";
+
+/// Reads the list. A list that is not one at all, or that is empty, is an
+/// error as a whole; single bad entries are found and passed over.
+pub fn read(body: &[u8]) -> Result<(Vec<LeafInfo>, Vec<Finding>), Finding> {
+    let whole = |text: String| Finding { place: "$".into(), text };
+    let val: Value =
+        serde_json::from_slice(body).map_err(|e| whole(format!("the list is not JSON: {e}")))?;
+    let Some(items) = val.get("leafs").and_then(Value::as_array) else {
+        return Err(whole("the list has no field `leafs`".into()));
+    };
+    let (mut out, mut all) = (Vec::<LeafInfo>::new(), Vec::new());
+    for (i, item) in items.iter().enumerate() {
+        let at = format!("leafs[{i}]");
+        match entry(item) {
+            Ok(leaf) if out.iter().any(|l| l.leaf == leaf.leaf) => {
+                find(&mut all, at, format!("leaf `{}` stands twice", leaf.leaf));
+            }
+            Ok(leaf) => out.push(leaf),
+            Err(text) => find(&mut all, at, text),
+        }
+    }
+    if out.is_empty() {
+        return Err(whole("the list names no leaf that can be used".into()));
+    }
+    Ok((out, all))
+}
+
+fn entry(item: &Value) -> Result<LeafInfo, String> {
+    let text = |key: &str| match item.get(key).and_then(Value::as_str) {
+        Some(s) if !s.is_empty() => Ok(s.to_string()),
+        _ => Err(format!("field `{key}` is missing or not a text")),
+    };
+    let leaf = text("leaf")?;
+    if !leaf.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err("field `leaf` must be plain ASCII without blanks".into());
+    }
+    let addr = text("addr")?;
+    if addr.parse::<std::net::SocketAddr>().is_err() {
+        return Err(format!("`{addr}` is not an IP address with a port"));
+    }
+    let mut labels = Labels::new();
+    if let Some(map) = item.get("labels").and_then(Value::as_object) {
+        for (key, val) in map {
+            let val = val.as_str().ok_or_else(|| format!("label `{key}` is not a text"))?;
+            labels.insert(key.clone(), val.to_string());
+        }
+    }
+    let leaving = labels.get("state").is_some_and(|s| s == "leaving");
+    Ok(LeafInfo { leaf, service: text("service")?, addr, labels, leaving })
+}
--- /dev/null
+++ b/crates/grebe/src/query/choose.rs
@@ -0,0 +1,76 @@
+//! Which leaf gets a dispatch.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::leaf::{Leaf, bears, load};
+use super::share::{Share, part};
+use crate::config::build::{Mapping, PoolPlan};
+use crate::luck::{Luck, below};
+use crate::time::Tick;
+use crate::view::leafs::{LeafInfo, zone};
+use crate::view::whole::{View, open};
+
+/// What came of choosing.
+pub enum Choice {
+    Leaf(Arc<LeafInfo>),
+    /// Leafs stand, but none has room in our share now.
+    Full,
+    /// No leaf stands that was not tried before.
+    None,
+}
+
+/// What a choice depends on.
+pub struct Scene<'a> {
+    pub view: &'a View,
+    pub share: &'a Share,
+    pub leafs: &'a IndexMap<String, Leaf>,
+    pub zone: &'a str,
+    pub now: Tick,
+}
+
+/// Chooses a leaf for one shard of a pinned mapping: the less loaded of two,
+/// the local zone first if the plan prefers it, rested leafs only when no
+/// other stands, never one in `tried`.
+pub fn choose(s: &Scene, luck: &mut Luck, map: &Mapping, shard: usize, tried: &[String]) -> Choice {
+    let mut fit: Vec<(&Arc<LeafInfo>, u64, bool, bool)> = Vec::new();
+    let mut stand = false;
+    for pool in &map.shards[shard].pools {
+        for info in open(s.view, pool, &map.cut) {
+            if tried.contains(&info.leaf) {
+                continue;
+            }
+            let Some(leaf) = s.leafs.get(&info.leaf) else { continue };
+            if leaf.leaving {
+                continue;
+            }
+            stand = true;
+            let own = room(s, leaf, pool);
+            if leaf.live >= own {
+                continue;
+            }
+            let rested = leaf.rest_until > s.now;
+            let near = map.local && zone(info) == s.zone;
+            fit.push((info, load(leaf, own), rested, near));
+        }
+    }
+    if fit.is_empty() {
+        return if stand { Choice::Full } else { Choice::None };
+    }
+    for (rested, near) in [(false, true), (false, false), (true, true), (true, false)] {
+        let set: Vec<_> = fit.iter().filter(|f| f.2 == rested && f.3 == near).collect();
+        if set.is_empty() {
+            continue;
+        }
+        let one = set[below(luck, set.len() as u64) as usize];
+        let two = set[below(luck, set.len() as u64) as usize];
+        return Choice::Leaf(if two.1 < one.1 { two.0 } else { one.0 }.clone());
+    }
+    Choice::None
+}
+
+/// Dispatches that we may have in hand at a leaf.
+pub fn room(s: &Scene, leaf: &Leaf, pool: &PoolPlan) -> u64 {
+    part(s.share, leaf.rank, bears(leaf, pool.bears, pool.ramp, s.now))
+}
--- /dev/null
+++ b/crates/grebe/src/query/leaf.rs
@@ -0,0 +1,96 @@
+//! What a traffic thread knows of a leaf at first hand.
+
+use crate::consts;
+use crate::digest::hash;
+use crate::edge::leaf::SelfWord;
+use crate::time::{MILLI, Span, Tick, ms, since};
+
+/// One leaf seen from one traffic thread.
+///
+/// Invariant: `live` is the number of our dispatches that it has in hand.
+pub struct Leaf {
+    pub thing: u64,
+    pub live: u64,
+    /// Thousandths busy, as it last said.
+    pub busy: u32,
+    /// Earliest time at which the leaf can have started, by our clock.
+    pub born: Tick,
+    /// Whether the leaf itself told its age; before that it counts as new.
+    pub told: bool,
+    /// It told us that it leaves. Never taken back for this identity.
+    pub leaving: bool,
+    /// Typical time of a dispatch.
+    pub typical: Span,
+    pub row: u32,
+    pub rest_until: Tick,
+    /// Our rank among all threads for this leaf, under the current share.
+    pub rank: Option<u64>,
+}
+
+/// A leaf that we hear of for the first time.
+pub fn leaf(name: &str, now: Tick) -> Leaf {
+    Leaf {
+        thing: hash(name),
+        live: 0,
+        busy: 0,
+        born: now,
+        told: false,
+        leaving: false,
+        typical: 0,
+        row: 0,
+        rest_until: 0,
+        rank: None,
+    }
+}
+
+/// What the leaf may be given by the whole fleet at its age.
+pub fn bears(leaf: &Leaf, full: u32, ramp: Span, now: Tick) -> u64 {
+    let full = u64::from(full);
+    let age = since(leaf.born, now);
+    if age >= ramp {
+        return full;
+    }
+    let floor = consts::RAMP_FLOOR_PCT;
+    (full * (floor * ramp + (100 - floor) * age) / (100 * ramp)).max(1)
+}
+
+/// Notes what the leaf says of itself.
+pub fn word(leaf: &mut Leaf, word: &SelfWord, now: Tick) {
+    if let Some(busy) = word.busy {
+        leaf.busy = busy;
+    }
+    if let Some(age) = word.age_ms {
+        let born = now.saturating_sub(age.saturating_mul(MILLI));
+        let restarted = born > leaf.born + consts::AGE_SLIP;
+        if !leaf.told || restarted || born < leaf.born {
+            leaf.born = born;
+        }
+        leaf.told = true;
+    }
+    leaf.leaving |= word.leaving;
+}
+
+/// Notes a good reply.
+pub fn good(leaf: &mut Leaf, took: Span) {
+    leaf.row = 0;
+    leaf.rest_until = 0;
+    leaf.typical = if leaf.typical == 0 {
+        took
+    } else {
+        leaf.typical - leaf.typical / consts::TYPICAL_WEIGHT + took / consts::TYPICAL_WEIGHT
+    };
+}
+
+/// Notes a trouble; enough in a row rest the leaf, longer each time.
+pub fn bad(leaf: &mut Leaf, now: Tick) {
+    leaf.row += 1;
+    if leaf.row >= consts::REST_AFTER {
+        let twice = (leaf.row - consts::REST_AFTER).min(6);
+        leaf.rest_until = now + (consts::REST_MIN << twice).min(consts::REST_MAX);
+    }
+}
+
+/// How loaded the leaf looks, for comparing: what it says plus what we hold.
+pub fn load(leaf: &Leaf, part: u64) -> u64 {
+    u64::from(leaf.busy) + leaf.live * 1000 / part.max(1) + leaf.typical / ms(1)
+}
--- /dev/null
+++ b/crates/grebe/src/query/share.rs
@@ -0,0 +1,47 @@
+//! A thread's share of what the whole fleet may do at once.
+
+use crate::digest::{hash, pair};
+
+/// The traffic threads of the live cohort and which of them is ours.
+///
+/// Invariant: `slots` are in order, stand once each, and hold `mine` unless
+/// this thread has no share at all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Share {
+    pub slots: Vec<u64>,
+    pub mine: u64,
+}
+
+/// The stable number of a traffic thread.
+pub fn slot(member: &str, thread: u32) -> u64 {
+    pair(hash(member), u64::from(thread))
+}
+
+/// A share among the threads of the members, given as (name, threads).
+pub fn share(members: &[(String, u32)], me: &str, thread: u32) -> Share {
+    let mut slots: Vec<u64> = members
+        .iter()
+        .flat_map(|(name, n)| (0..*n).map(|t| slot(name, t)))
+        .collect();
+    slots.sort_unstable();
+    slots.dedup();
+    Share { slots, mine: slot(me, thread) }
+}
+
+/// Our rank for a thing among all threads: each thing has its own order, so
+/// that remainders fall on different threads.
+pub fn rank(share: &Share, thing: u64) -> Option<u64> {
+    if share.slots.binary_search(&share.mine).is_err() {
+        return None;
+    }
+    let mine = pair(thing, share.mine);
+    Some(share.slots.iter().filter(|s| pair(thing, **s) < mine).count() as u64)
+}
+
+/// Our part of `total`. Over all threads of one cohort the parts add up to
+/// exactly `total`.
+pub fn part(share: &Share, rank: Option<u64>, total: u64) -> u64 {
+    let Some(rank) = rank else { return 0 };
+    let n = share.slots.len() as u64;
+    total / n + u64::from(rank < total % n)
+}
--- /dev/null
+++ b/crates/grebe/src/query/step.rs
@@ -0,0 +1,523 @@
+//! `step` of the owner of queries.
+
+use super::ask::{Ask, Bounce, Full, Outcome, Reason};
+use super::choose::{Choice, Scene, choose};
+use super::cover::served;
+use super::desk::*;
+use super::leaf::{self, leaf};
+use super::merge::merge;
+use super::{rule, share};
+use crate::config::build::{Mapping, needed};
+use crate::consts;
+use crate::digest::{digest, hash};
+use crate::edge::leaf::{Expect, Raw, Trouble, check, self_word};
+use crate::lang::compile::Send;
+use crate::time::{Span, Tick, since};
+
+/// Takes one event and says what to do.
+pub fn step(d: &mut Desk, now: Tick, event: Event) -> Vec<Command> {
+    let mut out = Vec::new();
+    match event {
+        Event::Ask { call, ask } => begin(d, now, call, ask, &mut out),
+        Event::Reply { dispatch, got } => reply(d, now, dispatch, got, &mut out),
+        Event::Gone { call } => gone(d, call, &mut out),
+        Event::View(view) => {
+            for name in view.leafs.keys() {
+                if !d.leafs.contains_key(name) {
+                    let mut new = leaf(name, now);
+                    new.rank = share::rank(&d.share, new.thing);
+                    d.leafs.insert(name.clone(), new);
+                }
+            }
+            d.leafs.retain(|name, l| l.live > 0 || view.leafs.contains_key(name));
+            d.view = view;
+            if d.door == Door::Shut {
+                d.door = Door::Open;
+            }
+            sweep(d, now, &mut out);
+        }
+        Event::Share(new) => {
+            d.share = new;
+            for leaf in d.leafs.values_mut() {
+                leaf.rank = share::rank(&d.share, leaf.thing);
+            }
+            let rank = share::rank(&d.share, hash("retry-slack"));
+            rule::slack(&mut d.rule, share::part(&d.share, rank, consts::RETRY_SLACK));
+            sweep(d, now, &mut out);
+        }
+        Event::Door(door) => d.door = door,
+        Event::Wake => sweep(d, now, &mut out),
+    }
+    // Given-up dispatches leave room behind that waiting queries can use.
+    if out.iter().any(|c| matches!(c, Command::Drop { .. })) {
+        sweep(d, now, &mut out);
+    }
+    out
+}
+
+/// When `step` wants to be woken next.
+pub fn next(d: &Desk) -> Option<Tick> {
+    d.queries.values().map(due).min()
+}
+
+fn due(q: &Query) -> Tick {
+    let mut at = q.end;
+    if count_in(q) >= need(q) {
+        at = at.min(q.stop_at);
+    }
+    for s in &q.slots {
+        if s.state == SlotState::Out && s.tries < q.map.attempts {
+            at = at.min(s.next_at);
+        }
+    }
+    at
+}
+
+fn need(q: &Query) -> usize {
+    needed(q.map.quorum, q.slots.len())
+}
+
+fn count_in(q: &Query) -> usize {
+    q.slots.iter().filter(|s| s.state == SlotState::In).count()
+}
+
+/// The one function that changes a slot's state.
+fn shift(slot: &mut Slot, to: SlotState) {
+    use SlotState::*;
+    let fits = matches!(
+        (slot.state, to),
+        (Wanting, Out) | (Wanting, Lost(_)) | (Out, Wanting) | (Out, In) | (Out, Lost(_))
+    );
+    assert!(fits, "no way from {:?} to {to:?}", slot.state);
+    slot.state = to;
+}
+
+fn bounce(d: &mut Desk, call: u64, mut b: Bounce, query: Option<String>, out: &mut Vec<Command>) {
+    b.query = query;
+    *d.counts.bounced.entry(b.reason).or_default() += 1;
+    out.push(Command::Tell { call, outcome: Outcome::Bounce(b) });
+}
+
+fn begin(d: &mut Desk, now: Tick, call: u64, ask: Ask, out: &mut Vec<Command>) {
+    match plan(d, now, call, ask) {
+        Err(b) => bounce(d, call, b, None, out),
+        Ok(q) => {
+            let id = d.next_query;
+            d.next_query += 1;
+            d.queries.insert(id, q);
+            advance(d, now, id, out);
+        }
+    }
+}
+
+/// Fixes everything about a query: its mapping, its shards, its times.
+fn plan(d: &Desk, now: Tick, call: u64, ask: Ask) -> Result<Query, Bounce> {
+    let say = |reason, text: &str| Err(Bounce::new(reason, text));
+    match d.door {
+        Door::Open => {}
+        Door::Shut => return say(Reason::NoView, "this node holds no view yet"),
+        Door::CutOff => return say(Reason::CutOff, "this node is cut off from the others"),
+        Door::Stopping => return say(Reason::Stopping, "this node is going down"),
+    }
+    let Some(map) = d.view.mappings.get(&ask.mapping).cloned() else {
+        return say(Reason::NoMapping, "no search of that name is configured");
+    };
+    let busy = d.queries.len();
+    if busy >= room_of(map.class) {
+        return say(Reason::Crowded, "this node works on all it may for this class");
+    }
+    let buffered = d.queries.values().filter(|q| wanting(q) > 0).count();
+    if buffered * 100 >= room_of(map.class) * consts::BUFFER_PCT {
+        return say(Reason::NoRoom, "too many queries already wait for room at the leafs");
+    }
+    let shards = match (map.send, &ask.key) {
+        (Send::Wide, _) => (0..map.shards.len()).collect(),
+        (Send::One, Some(key)) => vec![shard_of(&map, key)],
+        (Send::One, None) => {
+            return say(Reason::NoKey, "this search looks up one thing: give its `key`");
+        }
+    };
+    let keep = (ask.budget * consts::MERGE_KEEP_PCT / 100)
+        .clamp(consts::MERGE_KEEP_MIN, consts::MERGE_KEEP_MAX);
+    let usable: Span = ask.budget.saturating_sub(keep).min(map.promise);
+    if usable == 0 {
+        return say(Reason::OutOfTime, "the budget leaves no time to ask anyone");
+    }
+    let body = question(&map, &ask.question, ask.key.as_deref(), ask.limit);
+    Ok(Query {
+        call,
+        name: format!("{}-{}", d.name, d.next_query),
+        revision: d.view.revision,
+        start: now,
+        stop_at: now + usable * map.stop_pct / 100,
+        end: now + usable,
+        limit: ask.limit,
+        digest: digest(&body),
+        body: std::sync::Arc::new(body),
+        slots: shards.into_iter().map(slot).collect(),
+        map,
+    })
+}
+
+/// The shard that a key falls on, the same on every node.
+pub fn shard_of(map: &Mapping, key: &str) -> usize {
+    (hash(key) % map.shards.len() as u64) as usize
+}
+
+fn slot(shard: usize) -> Slot {
+    Slot {
+        shard,
+        state: SlotState::Wanting,
+        tries: 0,
+        tried: Vec::new(),
+        outs: Vec::new(),
+        next_at: 0,
+        records: Vec::new(),
+    }
+}
+
+/// Moves every query on: timers, and room that may have come free. Urgent
+/// queries are served first, then those that end soonest.
+fn sweep(d: &mut Desk, now: Tick, out: &mut Vec<Command>) {
+    let mut ids: Vec<_> = d
+        .queries
+        .iter()
+        .filter(|(_, q)| due(q) <= now || wanting(q) > 0)
+        .map(|(id, q)| (std::cmp::Reverse(q.map.class), q.end, *id))
+        .collect();
+    ids.sort_unstable();
+    for (_, _, id) in ids {
+        advance(d, now, id, out);
+    }
+}
+
+/// Moves one query as far as it goes now.
+fn advance(d: &mut Desk, now: Tick, id: u64, out: &mut Vec<Command>) {
+    let Some(mut q) = d.queries.swap_remove(&id) else { return };
+    if now < q.end {
+        for i in 0..q.slots.len() {
+            match q.slots[i].state {
+                SlotState::Wanting => fill(d, now, id, &mut q, i, out),
+                SlotState::Out if q.slots[i].next_at <= now => again(d, now, id, &mut q, i, out),
+                _ => {}
+            }
+        }
+    }
+    let (have, need) = (count_in(&q), need(&q));
+    let open = q
+        .slots
+        .iter()
+        .filter(|s| matches!(s.state, SlotState::Wanting | SlotState::Out))
+        .count();
+    let outcome = if open == 0 || now >= q.end {
+        if have >= need { Ok(()) } else { Err(reason(&q, now)) }
+    } else if have >= need && now >= q.stop_at {
+        Ok(())
+    } else if have + open < need {
+        Err(reason(&q, now))
+    } else {
+        d.queries.insert(id, q);
+        return;
+    };
+    finish(d, now, q, outcome, out);
+}
+
+/// Why a query is bounced: the gravest of what its slots met.
+fn reason(q: &Query, now: Tick) -> Reason {
+    let lost = q.slots.iter().filter_map(|s| match s.state {
+        SlotState::Lost(why) => Some(why),
+        SlotState::Wanting => Some(Reason::NoRoom),
+        _ => None,
+    });
+    match lost.max_by_key(|r| matches!(r, Reason::NoLeafs)) {
+        Some(why) => why,
+        None if now >= q.end => Reason::OutOfTime,
+        None => Reason::BelowQuorum,
+    }
+}
+
+/// Finds a leaf for a slot that wants one.
+fn fill(d: &mut Desk, now: Tick, id: u64, q: &mut Query, i: usize, out: &mut Vec<Command>) {
+    let picked = pick(d, now, q, i);
+    let slot = &mut q.slots[i];
+    match picked {
+        Choice::None if slot.tries == 0 => shift(slot, SlotState::Lost(Reason::NoLeafs)),
+        Choice::None => shift(slot, SlotState::Lost(Reason::BelowQuorum)),
+        Choice::Full => {
+            if since(now, q.end) < quickest(d, q, i) {
+                shift(&mut q.slots[i], SlotState::Lost(Reason::NoRoom));
+            }
+        }
+        Choice::Leaf(info) => {
+            if slot.tries > 0 && !rule::second(&mut d.rule, now) {
+                d.counts.denied += 1;
+                shift(slot, SlotState::Lost(Reason::BelowQuorum));
+                return;
+            }
+            shift(slot, SlotState::Out);
+            send(d, now, id, q, i, &info, out);
+        }
+    }
+}
+
+/// Sends a second try beside the first when its wait is over.
+fn again(d: &mut Desk, now: Tick, id: u64, q: &mut Query, i: usize, out: &mut Vec<Command>) {
+    if q.slots[i].tries >= q.map.attempts {
+        q.slots[i].next_at = Tick::MAX;
+        return;
+    }
+    let Choice::Leaf(info) = pick(d, now, q, i) else {
+        // Nobody to ask now; look again after a like wait.
+        q.slots[i].next_at = wait_until(q, now);
+        return;
+    };
+    if rule::second(&mut d.rule, now) {
+        send(d, now, id, q, i, &info, out);
+    } else {
+        d.counts.denied += 1;
+        q.slots[i].next_at = wait_until(q, now);
+    }
+}
+
+fn pick(d: &mut Desk, now: Tick, q: &Query, i: usize) -> Choice {
+    let s = Scene { view: &d.view, share: &d.share, leafs: &d.leafs, zone: &d.zone, now };
+    choose(&s, &mut d.luck, &q.map, q.slots[i].shard, &q.slots[i].tried)
+}
+
+/// The shortest typical time among a shard's leafs, zero if none is known.
+fn quickest(d: &Desk, q: &Query, i: usize) -> Span {
+    let pools = &q.map.shards[q.slots[i].shard].pools;
+    pools
+        .iter()
+        .filter_map(|p| d.view.services.get(&p.service))
+        .flatten()
+        .filter_map(|l| d.leafs.get(&l.leaf).map(|l| l.typical))
+        .min()
+        .unwrap_or(0)
+}
+
+/// The end of a dispatch's wait: its share of the time left, at least 1 ms.
+fn wait_until(q: &Query, now: Tick) -> Tick {
+    now + (since(now, q.end) * q.map.wait_pct / 100).max(crate::time::MILLI)
+}
+
+fn send(
+    d: &mut Desk,
+    now: Tick,
+    id: u64,
+    q: &mut Query,
+    i: usize,
+    info: &crate::view::leafs::LeafInfo,
+    out: &mut Vec<Command>,
+) {
+    let num = d.next_dispatch;
+    d.next_dispatch += 1;
+    let wait = wait_until(q, now);
+    let slot = &mut q.slots[i];
+    if slot.tries == 0 {
+        rule::first(&mut d.rule, now);
+        d.counts.firsts += 1;
+    } else {
+        d.counts.seconds += 1;
+    }
+    slot.tries += 1;
+    slot.next_at = wait;
+    slot.tried.push(info.leaf.clone());
+    slot.outs.push(num);
+    if let Some(l) = d.leafs.get_mut(&info.leaf) {
+        l.live += 1;
+    }
+    let name = format!("{}.{num}", q.name);
+    d.dispatches.insert(
+        num,
+        Dispatch {
+            query: id,
+            slot: i,
+            leaf: info.leaf.clone(),
+            service: info.service.clone(),
+            id: name.clone(),
+            at: now,
+        },
+    );
+    out.push(Command::Send(Sending {
+        dispatch: num,
+        addr: info.addr.clone(),
+        leaf: info.leaf.clone(),
+        service: info.service.clone(),
+        id: name,
+        digest: q.digest.clone(),
+        body: q.body.clone(),
+        budget: since(now, q.end),
+    }));
+}
+
+/// A dispatch has ended. A late or unknown one changes nothing.
+fn reply(
+    d: &mut Desk,
+    now: Tick,
+    num: u64,
+    got: Result<Raw, Trouble>,
+    out: &mut Vec<Command>,
+) {
+    let Some(sent) = d.dispatches.swap_remove(&num) else { return };
+    if let Ok(raw) = &got {
+        hear(d, now, &sent, raw, out);
+    }
+    let Some(mut q) = d.queries.swap_remove(&sent.query) else {
+        free(d, &sent);
+        return;
+    };
+    let limit = q.limit;
+    let checked = got.and_then(|raw| {
+        let want = Expect {
+            leaf: &sent.leaf,
+            query: &sent.id,
+            digest: &q.digest,
+            cut: &q.map.cut,
+            limit,
+        };
+        check(&raw, &want)
+    });
+    // Coverage: the shard is derived, and must be the one that was planned.
+    let planned = q.slots[sent.slot].shard;
+    let checked = checked.and_then(|recs| {
+        match served(&d.view, &q.map, &sent.leaf, &sent.service) {
+            Some(shard) if shard == planned => Ok(recs),
+            _ => Err(Trouble::WrongService),
+        }
+    });
+    free(d, &sent);
+    if let Some(l) = d.leafs.get_mut(&sent.leaf) {
+        match &checked {
+            Ok(_) => leaf::good(l, since(sent.at, now)),
+            // Turning work away unrun is good manners, not a fault.
+            Err(Trouble::Unrun) => {}
+            Err(_) => leaf::bad(l, now),
+        }
+    }
+    let slot = &mut q.slots[sent.slot];
+    slot.outs.retain(|o| *o != num);
+    match checked {
+        Ok(mut recs) => {
+            let name = &q.map.shards[planned].name;
+            for rec in &mut recs {
+                rec.shard = name.clone();
+            }
+            slot.records = recs;
+            shift(slot, SlotState::In);
+            for other in std::mem::take(&mut slot.outs) {
+                drop_out(d, other, out);
+            }
+        }
+        Err(why) => {
+            *d.counts.trouble.entry(why).or_default() += 1;
+            if slot.outs.is_empty() {
+                shift(slot, SlotState::Wanting);
+                if slot.tries >= q.map.attempts {
+                    shift(slot, SlotState::Lost(Reason::BelowQuorum));
+                }
+            }
+        }
+    }
+    d.queries.insert(sent.query, q);
+    advance(d, now, sent.query, out);
+    sweep(d, now, out);
+}
+
+/// Takes in what a leaf says of itself.
+fn hear(d: &mut Desk, now: Tick, sent: &Dispatch, raw: &Raw, out: &mut Vec<Command>) {
+    // A reply of another leaf, at a reused address, says nothing of ours.
+    if raw.status == crate::edge::leaf::MISDIRECTED {
+        return;
+    }
+    let said = self_word(&raw.heads);
+    let Some(l) = d.leafs.get_mut(&sent.leaf) else { return };
+    let new = said.leaving && !l.leaving;
+    leaf::word(l, &said, now);
+    if new {
+        out.push(Command::Leaving { leaf: sent.leaf.clone(), service: sent.service.clone() });
+    }
+}
+
+fn free(d: &mut Desk, sent: &Dispatch) {
+    if let Some(l) = d.leafs.get_mut(&sent.leaf) {
+        l.live -= 1;
+        if l.live == 0 && !d.view.leafs.contains_key(&sent.leaf) {
+            d.leafs.swap_remove(&sent.leaf);
+        }
+    }
+}
+
+fn drop_out(d: &mut Desk, num: u64, out: &mut Vec<Command>) {
+    if let Some(sent) = d.dispatches.swap_remove(&num) {
+        free(d, &sent);
+        d.counts.dropped += 1;
+        out.push(Command::Drop { dispatch: num });
+    }
+}
+
+/// The caller went away: nobody wants the dispatches' results.
+fn gone(d: &mut Desk, call: u64, out: &mut Vec<Command>) {
+    let id = d.queries.iter().find(|(_, q)| q.call == call).map(|(id, _)| *id);
+    if let Some(q) = id.and_then(|id| d.queries.swap_remove(&id)) {
+        for num in q.slots.iter().flat_map(|s| &s.outs) {
+            drop_out(d, *num, out);
+        }
+    }
+}
+
+fn finish(
+    d: &mut Desk,
+    now: Tick,
+    mut q: Query,
+    how: Result<(), Reason>,
+    out: &mut Vec<Command>,
+) {
+    for i in 0..q.slots.len() {
+        for num in std::mem::take(&mut q.slots[i].outs) {
+            // A leaf that let the whole budget pass is slow; say so to itself.
+            if now >= q.end
+                && let Some(sent) = d.dispatches.get(&num)
+                && let Some(l) = d.leafs.get_mut(&sent.leaf)
+            {
+                leaf::bad(l, now);
+                *d.counts.trouble.entry(Trouble::OutOfTime).or_default() += 1;
+            }
+            drop_out(d, num, out);
+        }
+    }
+    let took = since(q.start, now) / crate::time::MILLI;
+    let cell = TOOK_MS.iter().position(|b| took <= *b).unwrap_or(TOOK_MS.len());
+    d.counts.took[cell] += 1;
+    if let Err(why) = how {
+        let text = match why {
+            Reason::OutOfTime => "the budget ran out before the required share answered",
+            Reason::NoRoom => "no leaf had room in time",
+            Reason::NoLeafs => "a needed shard has no leaf that may be asked",
+            _ => "too many shards failed and no more tries were allowed",
+        };
+        return bounce(d, q.call, Bounce::new(why, text), Some(q.name), out);
+    }
+    let (mut shards, mut lists) = (Vec::new(), Vec::new());
+    let planned = q.slots.len();
+    for s in q.slots.into_iter().filter(|s| s.state == SlotState::In) {
+        shards.push(q.map.shards[s.shard].name.clone());
+        lists.push(s.records);
+    }
+    let missing = planned - shards.len();
+    if missing == 0 {
+        d.counts.full += 1;
+    } else {
+        d.counts.partial += 1;
+    }
+    let full = Full {
+        query: q.name,
+        mapping: q.map.name.clone(),
+        cut: q.map.cut.clone(),
+        revision: q.revision,
+        shards,
+        missing,
+        records: merge(lists, q.limit as usize),
+    };
+    out.push(Command::Tell { call: q.call, outcome: Outcome::Full(full) });
+}
--- /dev/null
+++ b/crates/grebe/src/view/leafs.rs
@@ -0,0 +1,26 @@
+//! A leaf as the platform's list names it, and its stored form.
+
+use crate::lang::selector::Labels;
+
+/// One leaf. `leaf` is its identity: a new start is a new identity.
+#[derive(Clone, PartialEq, Debug, nanoserde::DeBin, nanoserde::SerBin)]
+pub struct LeafInfo {
+    pub leaf: String,
+    pub service: String,
+    pub addr: String,
+    pub labels: Labels,
+    pub leaving: bool,
+}
+
+/// Key prefix of leafs within a part of services.
+pub const LEAF: &str = "leaf/";
+
+/// Where a leaf lies within its part.
+pub fn key(leaf: &str) -> String {
+    format!("{LEAF}{leaf}")
+}
+
+/// The zone of a leaf, empty if it has none.
+pub fn zone(info: &LeafInfo) -> &str {
+    info.labels.get("zone").map_or("", String::as_str)
+}
--- /dev/null
+++ b/crates/grebe/src/view/whole.rs
@@ -0,0 +1,52 @@
+//! The view that traffic threads serve by. It is never changed, only replaced.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::leafs::{LeafInfo, zone};
+use crate::config::build::{Built, CUT, Mapping, PoolPlan};
+use crate::lang::selector::fits;
+
+/// Everything a query needs to know.
+///
+/// Invariant: `built` was made from the configuration of `revision`, and no
+/// later view of the same process has a lower revision.
+#[derive(Clone, Default)]
+pub struct View {
+    pub revision: u64,
+    pub built: Arc<Built>,
+    /// Mappings by name, each pinned by the queries that use it.
+    pub mappings: IndexMap<String, Arc<Mapping>>,
+    pub services: IndexMap<String, Vec<Arc<LeafInfo>>>,
+    pub leafs: IndexMap<String, Arc<LeafInfo>>,
+}
+
+/// A view from its sources.
+pub fn view(revision: u64, built: Arc<Built>, leafs: Vec<LeafInfo>) -> View {
+    let mappings =
+        built.mappings.iter().map(|(n, m)| (n.clone(), Arc::new(m.clone()))).collect();
+    let mut out = View { revision, built, mappings, ..View::default() };
+    for leaf in leafs {
+        let leaf = Arc::new(leaf);
+        out.services.entry(leaf.service.clone()).or_default().push(leaf.clone());
+        out.leafs.insert(leaf.leaf.clone(), leaf);
+    }
+    out
+}
+
+/// The leafs of a pool that may get new work under this view: chosen by the
+/// pool, of the mapping's cut, not leaving, in no emptied zone.
+pub fn open<'a>(
+    view: &'a View,
+    pool: &'a PoolPlan,
+    cut: &'a str,
+) -> impl Iterator<Item = &'a Arc<LeafInfo>> {
+    let list = view.services.get(&pool.service).map_or(&[][..], Vec::as_slice);
+    list.iter().filter(move |l| {
+        !l.leaving
+            && !view.built.drained.contains(zone(l))
+            && l.labels.get(CUT).is_none_or(|c| c == cut)
+            && fits(&pool.sel, &l.labels)
+    })
+}
--- /dev/null
+++ b/crates/grebe/tests/rule.rs
@@ -0,0 +1,79 @@
+//! The retry rule over many threads, against a count of every 10 s window.
+
+use googletest::prelude::*;
+use grebe::consts::{RETRY_PCT, RETRY_SLACK};
+use grebe::luck::{below, chance, luck};
+use grebe::query::{rule, share};
+use grebe::time::{SECOND, ms};
+
+/// Most second tries over the allowance in any 10 s, for `n` threads whose
+/// traffic comes and goes and who would retry every single dispatch.
+fn worst(seed: u64, n: usize, slack_each: impl Fn(usize) -> u64) -> i64 {
+    let mut luck = luck(seed);
+    let mut rules: Vec<_> = (0..n).map(|_| rule::rule(0)).collect();
+    for (i, r) in rules.iter_mut().enumerate() {
+        rule::slack(r, slack_each(i));
+    }
+    let (mut firsts, mut seconds) = (Vec::new(), Vec::new());
+    let mut busy = true;
+    for tick in 0..60_000u64 {
+        let now = ms(tick);
+        if tick % 1_500 == 0 {
+            busy = chance(&mut luck, 2, 3);
+        }
+        let i = below(&mut luck, n as u64) as usize;
+        if busy && chance(&mut luck, 1, 2) {
+            rule::first(&mut rules[i], now);
+            firsts.push(now);
+        }
+        if rule::second(&mut rules[i], now) {
+            seconds.push(now);
+        }
+    }
+    let within = |list: &[u64], at: u64| {
+        let end = list.partition_point(|t| *t < at + 10 * SECOND);
+        (end - list.partition_point(|t| *t < at)) as i64
+    };
+    assert!(seconds.len() > 1_000, "the rule must allow something to be worth a check");
+    (0..50_000u64)
+        .step_by(50)
+        .map(|t| within(&seconds, ms(t)) - within(&firsts, ms(t)) * RETRY_PCT as i64 / 100)
+        .max()
+        .unwrap()
+}
+
+#[googletest::test]
+fn the_fleet_stays_within_the_rule_in_any_window() {
+    for seed in 0..20 {
+        let members: Vec<_> = (0..7).map(|i| (format!("q{i}"), 2)).collect();
+        let part = |i: usize| {
+            let s = share::share(&members, &format!("q{}", i / 2), (i % 2) as u32);
+            share::part(&s, share::rank(&s, 99), RETRY_SLACK)
+        };
+        let total: u64 = (0..14).map(part).sum();
+        expect_that!(total, eq(RETRY_SLACK));
+        // A window may lie just behind traffic that stopped: one burst's
+        // credit, here a fifth of 500 a second, and one try a thread.
+        expect_that!(worst(seed, 14, part), le(RETRY_SLACK as i64 + 100 + 14));
+    }
+}
+
+#[googletest::test]
+fn slack_taken_whole_by_every_thread_is_caught() {
+    let worst = (0..5).map(|s| worst(s, 14, |_| RETRY_SLACK)).max().unwrap();
+    expect_that!(worst, gt(RETRY_SLACK as i64 + 100 + 14));
+}
+
+#[googletest::test]
+fn a_restart_brings_no_credit() {
+    let mut r = rule::rule(0);
+    rule::slack(&mut r, 5);
+    expect_false!(rule::second(&mut r, 1));
+    for i in 0..4 {
+        rule::first(&mut r, i);
+    }
+    expect_false!(rule::second(&mut r, 5));
+    rule::first(&mut r, 6);
+    expect_true!(rule::second(&mut r, 7));
+    expect_false!(rule::second(&mut r, 8));
+}
