--- a/crates/grebe/src/cohort/mod.rs
+++ b/crates/grebe/src/cohort/mod.rs
@@ -0,0 +1,8 @@
+//! A querier's place among the others: the news it follows, its tenure, its
+//! cohort, its duties, and whether it is cut off. No I/O.
+
+pub mod duty;
+pub mod news;
+pub mod standing;
+pub mod step;
+pub mod watch;
--- /dev/null
+++ b/crates/grebe/src/cohort/standing.rs
@@ -0,0 +1,176 @@
+//! Our tenure, our share, and whether this node should serve at all.
+//!
+//! Without a granted renewal for `TENURE_TRUST` our tenure has lapsed. Then:
+//! - we hear another member: the core is out of reach for a group, which
+//!   serves its last view on with its last shares. Were a minority group of k
+//!   of n members cut off, the others' shares grow to the whole again and all
+//!   shares together stay below (1 + k/n) of it;
+//! - we hear nobody although the cohort has others: we are cut off alone,
+//!   turn not ready, and then bounce.
+
+use super::watch::{Command, Peer, Watch, places};
+use crate::consts;
+use crate::names::Seat;
+use crate::query::desk::Door;
+use crate::time::{MILLI, Span, Tick, ms, since};
+use crate::wire::msg::{Msg, Progress};
+
+/// How old our word from the core is.
+pub fn core_age(w: &Watch, now: Tick) -> Span {
+    if w.tenure.granted { since(w.tenure.held_from, now) } else { since(w.began, now) }
+}
+
+/// Members that spoke to us lately.
+pub fn heard(w: &Watch, now: Tick) -> impl Iterator<Item = (&String, &Peer)> {
+    w.peers.iter().filter(move |(_, p)| since(p.at, now) < consts::COHORT_SILENCE)
+}
+
+/// Renews the tenure when it is due.
+pub fn renew(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
+    if now < w.tenure.renew_at {
+        return;
+    }
+    w.tenure.renew_at = now + consts::TENURE_BEAT;
+    w.tenure.count += 1;
+    let count = w.tenure.count;
+    w.tenure.sent.insert(count, now);
+    while w.tenure.sent.len() > 16 {
+        w.tenure.sent.pop_first();
+    }
+    let far = Progress {
+        obeys: w.view.as_ref().map_or(0, |v| v.revision),
+        saw: (w.cohort.epoch, w.cohort.turn),
+        ready: w.ready,
+        leaving: w.drained,
+    };
+    let msg = Msg::Renew { member: w.me.clone(), count, far };
+    let age = core_age(w, now);
+    let worry = age >= consts::TENURE_WORRY;
+    match w.tenure.seat {
+        Some(seat) if !worry => out.push(Command::ToSeat { seat, msg: msg.clone() }),
+        _ => {
+            for seat in 0..consts::SEATS as Seat {
+                out.push(Command::ToSeat { seat, msg: msg.clone() });
+            }
+        }
+    }
+    if worry && w.tenure.granted {
+        // Perhaps only our way to the core is cut: neighbours hand it over.
+        let list: Vec<String> = heard(w, now)
+            .filter(|(_, p)| p.core_age < consts::TENURE_TRUST)
+            .map(|(n, _)| n.clone())
+            .take(2)
+            .collect();
+        for name in list {
+            to_member(w, &name, msg.clone(), out);
+        }
+    }
+}
+
+/// Sends to a member of the cohort.
+pub fn to_member(w: &Watch, name: &str, msg: Msg, out: &mut Vec<Command>) {
+    if let Some(m) = w.cohort.members.iter().find(|m| m.name == name) {
+        out.push(Command::ToMember { name: m.name.clone(), addr: m.addr.clone(), msg });
+    }
+}
+
+/// A renewal was granted.
+pub fn granted(w: &mut Watch, seat: Option<Seat>, name: &str, count: u64) {
+    if name != w.me.name {
+        return;
+    }
+    let Some(at) = w.tenure.sent.get(&count).copied() else { return };
+    w.tenure.sent = w.tenure.sent.split_off(&(count + 1));
+    w.tenure.held_from = w.tenure.held_from.max(at);
+    w.tenure.granted = true;
+    w.tenure.seat = seat;
+}
+
+/// Speaks to the neighbours: the next few members after us, by name.
+pub fn gossip(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
+    if now < w.gossip_at {
+        return;
+    }
+    w.gossip_at = now + consts::COHORT_BEAT;
+    let names: Vec<&String> =
+        w.cohort.members.iter().map(|m| &m.name).filter(|n| **n != w.me.name).collect();
+    let from = names.partition_point(|n| **n < w.me.name);
+    let near: Vec<String> = (0..names.len().min(consts::COHORT_NEIGHBOURS))
+        .map(|i| names[(from + i) % names.len()].clone())
+        .collect();
+    for name in near {
+        let msg = gossip_msg(w, now, true);
+        to_member(w, &name, msg, out);
+    }
+    w.peers.retain(|_, p| since(p.at, now) < consts::COHORT_SILENCE * 4);
+}
+
+/// What we say to another member.
+pub fn gossip_msg(w: &Watch, now: Tick, reply: bool) -> Msg {
+    Msg::Gossip {
+        name: w.me.name.clone(),
+        core_age_ms: core_age(w, now) / MILLI,
+        ready: w.ready,
+        places: places(w),
+        reply,
+    }
+}
+
+/// Takes in what a member says of itself.
+pub fn spoke(w: &mut Watch, now: Tick, name: &str, peer: (u64, bool, Vec<crate::wire::msg::Place>)) {
+    let (age_ms, ready, places) = peer;
+    let peer = Peer { at: now, core_age: ms(age_ms), places, ready };
+    w.peers.insert(name.to_string(), peer);
+}
+
+/// Decides door, readiness and share, and says what changed.
+pub fn decide(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
+    let age = core_age(w, now);
+    let company = heard(w, now).next().is_some();
+    let others = w.cohort.members.iter().any(|m| m.name != w.me.name);
+    let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
+    let alone = w.tenure.granted && others && !company;
+    let lapsed = age >= consts::TENURE_TRUST;
+    // The platform needs a moment to see that we are not ready: until then
+    // callers still come, and are served.
+    let shut = w.stopping.is_some_and(|at| since(at, now) >= consts::DRAIN_NOTICE);
+    let door = match (&w.view, shut) {
+        (_, true) => Door::Stopping,
+        (None, _) => Door::Shut,
+        _ if alone && lapsed => Door::CutOff,
+        _ => Door::Open,
+    };
+    // A share needs a settled place in the cohort; once had, it is kept while
+    // the core is out of reach for the group. A core that has forgotten us
+    // and takes us in anew must not make us drop it: until that is settled we
+    // divide by everyone old and new.
+    let ours = |m: &crate::wire::msg::Member| (m.name.clone(), m.threads);
+    let mut shares: Vec<(String, u32)> = w.cohort.members.iter().map(ours).collect();
+    let settled = member.is_some_and(|m| m.joined <= w.cohort.settled);
+    if door == Door::CutOff || member.is_none() || (!settled && w.shared.is_empty()) {
+        shares.clear();
+    } else if !settled {
+        shares.extend(w.shared.iter().filter(|s| !shares.contains(s)).cloned().collect::<Vec<_>>());
+        shares.sort();
+    }
+    if shares != w.shared {
+        w.shared = shares.clone();
+        out.push(Command::Shares(shares));
+    }
+    if door != w.door {
+        if door == Door::CutOff {
+            w.counts.lapses += 1;
+            out.push(Command::Alarm("cut off alone: no word from core or cohort".into()));
+        }
+        w.door = door;
+        out.push(Command::Door(door));
+    }
+    let ready = door == Door::Open
+        && w.stopping.is_none()
+        && !w.shared.is_empty()
+        && !(alone && age >= consts::LONE_NOTICE);
+    if ready != w.ready {
+        w.ready = ready;
+        out.push(Command::Ready(ready));
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/cohort/step.rs
@@ -0,0 +1,113 @@
+//! `step` of a querier's control thread.
+
+use super::watch::{Command, Event, Watch, places};
+use super::{duty, news, standing};
+use crate::consts;
+use crate::names::CONFIG;
+use crate::state::members::newer;
+use crate::time::{Tick, ms};
+use crate::wire::msg::Msg;
+
+/// How often a querier's control thread looks around.
+pub const WAKE: crate::time::Span = ms(50);
+
+/// Takes one event and says what to do.
+pub fn step(w: &mut Watch, now: Tick, event: Event) -> Vec<Command> {
+    let mut out = Vec::new();
+    match event {
+        Event::FromSeat { seat, msg } => match msg {
+            Msg::Reach { formed, rev } => {
+                w.reach[usize::from(seat)] = Some((formed, rev, now));
+            }
+            Msg::Tenure { name, count, .. } => {
+                if name == w.me.name {
+                    standing::granted(w, Some(seat), &name, count);
+                } else if w.handed.contains_key(&name) {
+                    let msg = Msg::Tenure { name: name.clone(), count, epoch: 0 };
+                    standing::to_member(w, &name, msg, &mut out);
+                }
+            }
+            msg => any(w, msg, false, &mut out),
+        },
+        Event::FromMember { name, msg } => from_member(w, now, &name, msg, &mut out),
+        Event::Leaving { leaf, service } => {
+            w.leaving.entry(leaf).or_insert((service, 0));
+        }
+        Event::List(got) => duty::listed(w, got, &mut out),
+        Event::Stop => w.stopping = Some(now),
+        Event::Drained => {
+            w.drained = true;
+            w.tenure.renew_at = now;
+        }
+        Event::Wake => {
+            if now >= w.follow_at {
+                w.follow_at = now + consts::FOLLOW_BEAT;
+                for seat in 0..consts::SEATS as u8 {
+                    out.push(Command::ToSeat { seat, msg: Msg::Follow { places: places(w) } });
+                }
+            }
+            standing::gossip(w, now, &mut out);
+            duty::wake(w, now, &mut out);
+        }
+    }
+    duty::findings(w, now, &mut out);
+    news::settle_start(w, now);
+    news::publish(w, &mut out);
+    standing::decide(w, now, &mut out);
+    standing::renew(w, now, &mut out);
+    out
+}
+
+/// What may come from a seat as well as from a member.
+fn any(w: &mut Watch, msg: Msg, member: bool, out: &mut Vec<Command>) {
+    match msg {
+        Msg::News { part, from, rev, entries } => {
+            if news::take(w, part, from, rev, &entries, out) && member {
+                w.counts.news_from_members += 1;
+            }
+        }
+        Msg::Tell(cohort) => {
+            if newer(&cohort, &w.cohort) {
+                w.cohort = cohort;
+                // What we saw lets others settle: say so at once.
+                w.tenure.renew_at = 0;
+            }
+        }
+        _ => {}
+    }
+}
+
+fn from_member(w: &mut Watch, now: Tick, name: &str, msg: Msg, out: &mut Vec<Command>) {
+    match msg {
+        Msg::Gossip { name, core_age_ms, ready, places: theirs, reply } => {
+            let ahead = theirs.iter().any(|p| w.held.get(&p.part).is_some_and(|h| h.rev < p.rev));
+            let config = theirs.iter().any(|p| p.part == CONFIG && p.rev > 0);
+            standing::spoke(w, now, &name, (core_age_ms, ready, theirs));
+            if reply {
+                let msg = standing::gossip_msg(w, now, false);
+                standing::to_member(w, &name, msg, out);
+            }
+            // Ask a member only for what the core did not bring us in time.
+            if ahead && config && standing::core_age(w, now) >= consts::TENURE_WORRY {
+                standing::to_member(w, &name, Msg::Follow { places: places(w) }, out);
+            }
+        }
+        Msg::Follow { places } => {
+            let list = news::hand_on(w, &places);
+            let cohort = Msg::Tell(w.cohort.clone());
+            for msg in list.into_iter().chain([cohort]) {
+                standing::to_member(w, name, msg, out);
+            }
+        }
+        Msg::Renew { member, count, far } => {
+            // Hand a neighbour's renewal over, if our own way to the core works.
+            if standing::core_age(w, now) < consts::TENURE_WORRY {
+                w.handed.insert(member.name.clone(), now);
+                w.counts.handed_renewals += 1;
+                duty::to_core(w, Msg::Renew { member, count, far }, out);
+            }
+        }
+        Msg::Tenure { name, count, .. } => standing::granted(w, None, &name, count),
+        msg => any(w, msg, true, out),
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/cohort/watch.rs
@@ -0,0 +1,155 @@
+//! The state of a querier's control thread.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::config::build::Built;
+use crate::consts::SEATS;
+use crate::names::{PartId, Seat, parts};
+use crate::query::desk::Door;
+use crate::time::Tick;
+use crate::view::leafs::LeafInfo;
+use crate::view::whole::View;
+use crate::wire::msg::{Cohort, Map, Member, Msg, Place};
+
+/// The owner of what a querier knows.
+///
+/// Invariants: a part's revision in `held` only rises; `built` was made from
+/// the configuration at `built_rev`; a view is given out only after `sure`.
+pub struct Watch {
+    pub me: Member,
+    pub began: Tick,
+    pub held: BTreeMap<PartId, Held>,
+    /// What each seat last said of its reach: formed, revision, when.
+    pub reach: [Option<(bool, u64, Tick)>; SEATS],
+    /// Whether our first view is known not to be an old one.
+    pub sure: bool,
+    pub built: Arc<Built>,
+    pub built_rev: u64,
+    pub view: Option<Arc<View>>,
+    pub stale: bool,
+    pub cohort: Cohort,
+    pub shared: Vec<(String, u32)>,
+    pub tenure: Tenure,
+    pub peers: IndexMap<String, Peer>,
+    pub door: Door,
+    pub ready: bool,
+    /// When we were told to stop.
+    pub stopping: Option<Tick>,
+    /// Nothing is in hand any more; our tenure may be given back.
+    pub drained: bool,
+    pub follow_at: Tick,
+    pub gossip_at: Tick,
+    pub list_at: Tick,
+    /// Leafs that told one of our threads that they leave: service, last sent.
+    pub leaving: BTreeMap<String, (String, Tick)>,
+    /// Members whose renewals we handed over.
+    pub handed: BTreeMap<String, Tick>,
+    pub counts: Counts,
+}
+
+/// A part as we hold it.
+#[derive(Default)]
+pub struct Held {
+    pub rev: u64,
+    pub map: Map,
+}
+
+/// Our tenure.
+#[derive(Default)]
+pub struct Tenure {
+    pub count: u64,
+    /// When each renewal that is not yet granted was sent.
+    pub sent: BTreeMap<u64, Tick>,
+    /// When the newest granted renewal was sent; zero before the first.
+    pub held_from: Tick,
+    pub granted: bool,
+    /// The seat through which the last grant came.
+    pub seat: Option<Seat>,
+    pub renew_at: Tick,
+}
+
+/// Another member, as it last spoke to us.
+pub struct Peer {
+    pub at: Tick,
+    /// Age of its word from the core when it spoke.
+    pub core_age: Tick,
+    pub places: Vec<Place>,
+    pub ready: bool,
+}
+
+/// What is counted.
+#[derive(Clone, Default, Debug)]
+pub struct Counts {
+    pub news: u64,
+    pub news_from_members: u64,
+    pub views: u64,
+    pub list_polls: u64,
+    pub list_troubles: u64,
+    pub lapses: u64,
+    pub handed_renewals: u64,
+}
+
+/// What happens to a querier's control thread.
+pub enum Event {
+    FromSeat { seat: Seat, msg: Msg },
+    FromMember { name: String, msg: Msg },
+    /// A thread heard a leaf say that it is leaving.
+    Leaving { leaf: String, service: String },
+    /// A poll of the list has ended.
+    List(Result<Vec<LeafInfo>, String>),
+    Stop,
+    /// The threads have nothing in hand any more.
+    Drained,
+    Wake,
+}
+
+/// What it wants done.
+pub enum Command {
+    ToSeat { seat: Seat, msg: Msg },
+    ToMember { name: String, addr: String, msg: Msg },
+    View(Arc<View>),
+    /// The members whose threads share the fleet's limits, with theirs;
+    /// empty while we have no share.
+    Shares(Vec<(String, u32)>),
+    Door(Door),
+    Ready(bool),
+    PollList,
+    Alarm(String),
+}
+
+/// A querier that knows nothing yet.
+pub fn watch(me: Member, now: Tick) -> Watch {
+    Watch {
+        me,
+        began: now,
+        held: parts().map(|p| (p, Held::default())).collect(),
+        reach: [None; SEATS],
+        sure: false,
+        built: Arc::new(Built::default()),
+        built_rev: 0,
+        view: None,
+        stale: false,
+        cohort: Cohort::default(),
+        shared: Vec::new(),
+        tenure: Tenure::default(),
+        peers: IndexMap::new(),
+        door: Door::Shut,
+        ready: false,
+        stopping: None,
+        drained: false,
+        follow_at: now,
+        gossip_at: now,
+        list_at: now,
+        leaving: BTreeMap::new(),
+        handed: BTreeMap::new(),
+        counts: Counts::default(),
+    }
+}
+
+/// Where we stand in every part.
+pub fn places(w: &Watch) -> Vec<Place> {
+    w.held.iter().map(|(part, h)| Place { part: *part, rev: h.rev }).collect()
+}
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -76,10 +76,13 @@
 pub const TENURE_BEAT: Span = ms(500);
 /// How long a tenure lasts at the core without renewal.
 pub const TENURE: Span = 3 * SECOND;
-/// After this long without renewal a member no longer trusts its share.
-/// Shorter than `TENURE` by a beat and a round trip, so that the member
-/// knows before the core gives its share away.
-pub const TENURE_TRUST: Span = ms(2_200);
+/// After this long without renewal, counted from when the renewal was sent, a
+/// member no longer trusts its share. Shorter than `TENURE`, so that it knows
+/// before the core gives the share to others.
+pub const TENURE_TRUST: Span = ms(2_600);
+/// After this long without renewal a member asks its neighbours to hand its
+/// renewals over: two lost in a row.
+pub const TENURE_WORRY: Span = ms(1_100);
 /// A new owner of the configuration counts the old members as live for one
 /// tenure, since it has not heard them itself yet.
 pub const TENURE_GRACE: Span = TENURE;
@@ -90,11 +93,9 @@
 pub const COHORT_NEIGHBOURS: usize = 4;
 /// A cohort member not heard for this long counts as silent.
 pub const COHORT_SILENCE: Span = ms(1_600);
-/// The core counts as out of hearing after this long without news from it.
-pub const CORE_SILENCE: Span = ms(2_000);
-/// A lone cut-off member turns not ready at once and bounces after this
-/// long, so that the platform's readiness check (each second) goes first.
-pub const LONE_GRACE: Span = ms(2_500);
+/// A lone cut-off member turns not ready after this long without the core, a
+/// second before it bounces: the platform checks readiness each second.
+pub const LONE_NOTICE: Span = ms(1_600);
 /// How often a querier asks the core for news it may have missed.
 pub const FOLLOW_BEAT: Span = ms(400);
 /// A starting querier that heard fewer than two seats waits this long
--- a/crates/grebe/src/disk/mod.rs
+++ b/crates/grebe/src/disk/mod.rs
@@ -0,0 +1,10 @@
+//! The form of files on disk: two slots written in turn, a short log between.
+//!
+//! A part's folder holds `slot-0`, `slot-1` and `log`. A slot is a whole copy
+//! with a sequence number; the log holds what came after the slot of the same
+//! number. All of it is checksummed and length-checked, and this module does
+//! no I/O: it turns copies and records into bytes and back.
+
+pub mod read;
+pub mod rec;
+pub mod write;
--- /dev/null
+++ b/crates/grebe/src/state/feed.rs
@@ -0,0 +1,94 @@
+//! What is committed, shown to followers as a numbered feed.
+
+use super::core::{Command, Core, WireId};
+use super::part::Part;
+use crate::consts;
+use crate::disk::rec::put;
+use crate::names::PartId;
+use crate::wire::msg::{Map, Msg, Place};
+
+/// Shows everything up to the committed revision `done` that we have.
+pub fn show(p: &mut Part, done: u64) {
+    if p.seed.as_ref().is_some_and(|(rev, _)| *rev <= done)
+        && let Some((rev, map)) = p.seed.take()
+        && rev > p.shown_rev
+    {
+        p.shown = map;
+        p.shown_rev = rev;
+    }
+    if p.seed.is_none() {
+        for (rev, entries) in &p.changes {
+            if *rev == p.shown_rev + 1 && *rev <= done {
+                put(&mut p.shown, entries);
+                p.shown_rev = *rev;
+            }
+        }
+    }
+    while p.changes.len() > consts::FEED_KEPT
+        && p.changes.front().is_some_and(|(rev, _)| *rev <= p.shown_rev)
+    {
+        p.changes.pop_front();
+    }
+}
+
+/// Takes over a copy whose way here is not known.
+pub fn reseed(p: &mut Part, rev: u64, map: &Map) {
+    // An owner that re-writes what we have already tells us nothing new.
+    if p.copy.rev == rev && p.copy.map == *map {
+        return;
+    }
+    p.changes.clear();
+    p.seed = Some((rev, map.clone()));
+}
+
+/// The news that takes a follower from `place` to what is shown now.
+pub fn news(p: &Part, place: u64) -> Option<Msg> {
+    if place >= p.shown_rev {
+        return None;
+    }
+    let first = p.changes.front().map_or(u64::MAX, |(rev, _)| *rev);
+    let rev = p.shown_rev;
+    if place > 0 && p.seed.is_none() && first <= place + 1 {
+        let entries = p
+            .changes
+            .iter()
+            .filter(|(r, _)| *r > place && *r <= rev)
+            .flat_map(|(_, entries)| entries.iter().cloned())
+            .collect();
+        return Some(Msg::News { part: p.id, from: Some(place), rev, entries });
+    }
+    let entries = p.shown.iter().map(|(k, v)| (k.clone(), Some(v.clone()))).collect();
+    Some(Msg::News { part: p.id, from: None, rev, entries })
+}
+
+/// Brings every follower up to what is shown. Each is sent a thing once; one
+/// that lost it says where it stands in its next `Follow`.
+pub fn push(core: &mut Core, out: &mut Vec<Command>) {
+    for (wire, places) in &mut core.followers {
+        for p in &core.parts {
+            let place = places.entry(p.id).or_insert(0);
+            if let Some(msg) = news(p, *place) {
+                *place = p.shown_rev;
+                core.counts.news += 1;
+                out.push(Command::ToWire { wire: *wire, msg });
+            }
+        }
+    }
+}
+
+/// A follower says where it stands.
+pub fn follow(core: &mut Core, wire: WireId, list: Vec<Place>, out: &mut Vec<Command>) {
+    let known = core.followers.entry(wire).or_default();
+    for place in list {
+        known.insert(place.part, place.rev);
+    }
+    let config = &core.parts[0];
+    let formed = super::part::able(config);
+    out.push(Command::ToWire { wire, msg: Msg::Reach { formed, rev: config.copy.rev } });
+    push(core, out);
+}
+
+/// The committed revision of a part at this seat.
+pub fn shown(core: &Core, part: PartId) -> u64 {
+    core.parts.iter().find(|p| p.id == part).map_or(0, |p| p.shown_rev)
+}
--- /dev/null
+++ b/crates/grebe/src/state/leafs.rs
@@ -0,0 +1,101 @@
+//! The leafs of a part's services: the platform's list merged with what is
+//! known at first hand.
+
+use std::collections::BTreeMap;
+
+use nanoserde::{DeBin, SerBin};
+
+use super::core::{Command, Counts};
+use super::owner::change;
+use super::part::{Part, owner};
+use crate::config::change::Entry;
+use crate::consts;
+use crate::names::{Seat, part_of};
+use crate::time::{Tick, since};
+use crate::view::leafs::{LEAF, LeafInfo, key};
+
+/// The leafs that a map holds; entries that can't be read are passed over.
+pub fn all(map: &BTreeMap<String, Vec<u8>>) -> BTreeMap<String, LeafInfo> {
+    map.iter()
+        .filter(|(k, _)| k.starts_with(LEAF))
+        .filter_map(|(_, v)| LeafInfo::deserialize_bin(v).ok())
+        .map(|l| (l.leaf.clone(), l))
+        .collect()
+}
+
+fn entry(info: &LeafInfo) -> Entry {
+    (key(&info.leaf), Some(info.serialize_bin()))
+}
+
+/// The holder of the list's duty reports what the list names for this part.
+pub fn listed(
+    p: &mut Part,
+    now: Tick,
+    seat: Seat,
+    fence: (u64, u64),
+    list: Vec<LeafInfo>,
+    counts: &mut Counts,
+    out: &mut Vec<Command>,
+) {
+    let id = p.id;
+    let known = all(&p.copy.map);
+    let Some(o) = owner(p) else { return };
+    if !o.serves {
+        return;
+    }
+    if fence < o.fence {
+        counts.fenced += 1;
+        return;
+    }
+    o.fence = fence;
+    let list: BTreeMap<String, LeafInfo> = list
+        .into_iter()
+        .filter(|l| part_of(&l.service) == id)
+        .map(|l| (l.leaf.clone(), l))
+        .collect();
+    let mut entries: Vec<Entry> = Vec::new();
+    for (name, info) in &list {
+        let mut info = info.clone();
+        let old = known.get(name);
+        // The list lags: who once said that it leaves does not come back
+        // under the same identity.
+        info.leaving |= old.is_some_and(|o| o.leaving);
+        if old != Some(&info) {
+            entries.push(entry(&info));
+        }
+    }
+    for (name, info) in &known {
+        if list.contains_key(name) {
+            o.absent.remove(name);
+            continue;
+        }
+        // A new identity at its address: the old one is surely gone. But if
+        // most of a service vanishes from the list, doubt the list.
+        let taken = list.values().any(|l| l.addr == info.addr && !known.contains_key(&l.leaf));
+        let at = *o.absent.entry(name.clone()).or_insert(now);
+        let peers = known.values().filter(|l| l.service == info.service).count();
+        let stay = list.values().filter(|l| l.service == info.service).count();
+        let doubt = stay * 2 < peers && !info.leaving;
+        let patience = if doubt { consts::LEAF_ABSENCE * 6 } else { consts::LEAF_ABSENCE };
+        if taken || since(at, now) >= patience {
+            entries.push((key(name), None));
+            o.absent.remove(name);
+        }
+    }
+    o.absent.retain(|name, _| known.contains_key(name));
+    if !entries.is_empty() {
+        change(p, now, seat, entries, out);
+    }
+}
+
+/// A leaf said at first hand that it is leaving.
+pub fn leaving(p: &mut Part, now: Tick, seat: Seat, leaf: &str, out: &mut Vec<Command>) {
+    let known = all(&p.copy.map);
+    let serves = owner(p).is_some_and(|o| o.serves);
+    if let (true, Some(info)) = (serves, known.get(leaf))
+        && !info.leaving
+    {
+        let info = LeafInfo { leaving: true, ..info.clone() };
+        change(p, now, seat, vec![entry(&info)], out);
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/state/members.rs
@@ -0,0 +1,178 @@
+//! The members and their tenures. The owner of the configuration keeps them;
+//! the other seats hand renewals over to it and pass its word on.
+
+use indexmap::IndexMap;
+
+use super::core::{Command, Core, WireId, others};
+use super::part::Role;
+use crate::consts;
+use crate::names::Seat;
+use crate::time::{Tick, since};
+use crate::wire::msg::{Cohort, Member, Msg, Progress};
+
+/// What a seat knows of the members.
+///
+/// Invariants: `cohort` never goes back in (`epoch`, `turn`); `heard` is kept
+/// by the owner only, and a member not in it has no tenure from us.
+#[derive(Default)]
+pub struct Members {
+    pub cohort: Cohort,
+    /// The last renewal of each member.
+    pub heard: IndexMap<String, Heard>,
+    /// Epoch for which `heard` was begun, and when.
+    pub reign: Option<(u64, Tick)>,
+    /// The wire on which each member speaks to this seat.
+    pub wires: IndexMap<String, WireId>,
+}
+
+/// A member's last renewal.
+pub struct Heard {
+    pub at: Tick,
+    pub member: Member,
+    pub far: Progress,
+}
+
+/// The epoch under which we keep the tenures, if we do.
+fn reign(core: &Core) -> Option<u64> {
+    match &core.parts[0].role {
+        Role::Owner(o) if o.serves => Some(o.epoch),
+        _ => None,
+    }
+}
+
+/// A member renews its tenure, here or at a seat that handed it over.
+pub fn renew(
+    core: &mut Core,
+    now: Tick,
+    from: Option<Seat>,
+    wire: Option<WireId>,
+    (member, count, far): (Member, u64, Progress),
+    out: &mut Vec<Command>,
+) {
+    if let Some(wire) = wire {
+        core.members.wires.insert(member.name.clone(), wire);
+    }
+    let Some(epoch) = reign(core) else {
+        // Hand over to the owner, once; a seat never hands on what a seat gave.
+        if from.is_none()
+            && let Role::Follower { owner: Some((seat, _)), .. } = core.parts[0].role
+        {
+            out.push(Command::ToSeat { seat, msg: Msg::Renew { member, count, far } });
+        }
+        return;
+    };
+    begin(core, now, epoch);
+    let name = member.name.clone();
+    if far.leaving {
+        core.members.heard.swap_remove(&name);
+    } else {
+        core.members.heard.insert(name.clone(), Heard { at: now, member, far });
+    }
+    let msg = Msg::Tenure { name, count, epoch };
+    match (from, wire) {
+        (Some(seat), _) => out.push(Command::ToSeat { seat, msg }),
+        (None, Some(wire)) => out.push(Command::ToWire { wire, msg }),
+        (None, None) => {}
+    }
+}
+
+/// Begins to keep tenures under a new epoch: who was a member stays one for
+/// a tenure, since we may not have heard it yet.
+fn begin(core: &mut Core, now: Tick, epoch: u64) {
+    let m = &mut core.members;
+    if m.reign.is_some_and(|(e, _)| e == epoch) {
+        return;
+    }
+    m.reign = Some((epoch, now));
+    let old = |k: &Member| Heard { at: now, member: k.clone(), far: Progress::default() };
+    m.heard = m.cohort.members.iter().map(|k| (k.name.clone(), old(k))).collect();
+}
+
+/// Time passes: tenures end, and the cohort's state is told when it changed.
+pub fn wake(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
+    let Some(epoch) = reign(core) else {
+        core.members.reign = None;
+        return;
+    };
+    begin(core, now, epoch);
+    let m = &mut core.members;
+    m.heard.retain(|_, h| since(h.at, now) < consts::TENURE);
+    // With nothing handed down we may know too few: telling now would give
+    // the ones we know shares that others still hold.
+    let young = m.reign.is_some_and(|(_, at)| since(at, now) < consts::TENURE_GRACE);
+    if m.cohort.epoch == 0 && young {
+        return;
+    }
+    let next = m.cohort.turn + 1;
+    let mut list: Vec<Member> = m.heard.values().map(|h| h.member.clone()).collect();
+    list.sort_by(|a, b| a.name.cmp(&b.name));
+    for k in &mut list {
+        let old = m.cohort.members.iter().find(|o| o.name == k.name && o.threads == k.threads);
+        k.joined = old.map_or(next, |o| o.joined);
+    }
+    let mut changed = false;
+    if m.cohort.epoch != epoch || m.cohort.members != list {
+        // A change of owner alone re-tells the same members: they join anew
+        // only if their share changes.
+        let settled = m.cohort.settled;
+        m.cohort = Cohort { epoch, turn: next, settled, members: list };
+        changed = true;
+    }
+    let turn = m.cohort.turn;
+    let seen = m.heard.values().all(|h| h.far.saw >= (epoch, turn));
+    if seen && m.cohort.settled < turn {
+        m.cohort.settled = turn;
+        changed = true;
+    }
+    if changed {
+        tell(core, out);
+    }
+}
+
+/// What the owner knows of the members' progress: name, ms since heard, how far.
+pub fn status(core: &Core, now: Tick) -> Vec<(String, u64, Progress)> {
+    let age = |h: &Heard| since(h.at, now) / crate::time::MILLI;
+    core.members.heard.iter().map(|(n, h)| (n.clone(), age(h), h.far.clone())).collect()
+}
+
+/// Passes the cohort's state on: the owner to the seats, each to its wires.
+fn tell(core: &Core, out: &mut Vec<Command>) {
+    let cohort = &core.members.cohort;
+    if reign(core) == Some(cohort.epoch) {
+        for seat in others(core.seat) {
+            out.push(Command::ToSeat { seat, msg: Msg::Tell(cohort.clone()) });
+        }
+    }
+    for wire in core.followers.keys() {
+        out.push(Command::ToWire { wire: *wire, msg: Msg::Tell(cohort.clone()) });
+    }
+}
+
+/// Whether a state of the cohort comes after another.
+pub fn newer(a: &Cohort, b: &Cohort) -> bool {
+    (a.epoch, a.turn, a.settled) > (b.epoch, b.turn, b.settled)
+}
+
+/// The owner told us the cohort's state.
+pub fn told(core: &mut Core, cohort: Cohort, out: &mut Vec<Command>) {
+    let ours = &core.members.cohort;
+    if newer(&cohort, ours) {
+        core.members.cohort = cohort;
+        tell(core, out);
+    }
+}
+
+/// Sends the state to a follower that just said where it stands.
+pub fn greet(core: &Core, wire: WireId, out: &mut Vec<Command>) {
+    if core.members.cohort.epoch > 0 {
+        let msg = Msg::Tell(core.members.cohort.clone());
+        out.push(Command::ToWire { wire, msg });
+    }
+}
+
+/// The owner granted a tenure that we had handed over.
+pub fn granted(core: &Core, name: String, count: u64, epoch: u64, out: &mut Vec<Command>) {
+    if let Some(wire) = core.members.wires.get(&name) {
+        out.push(Command::ToWire { wire: *wire, msg: Msg::Tenure { name, count, epoch } });
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/state/part.rs
@@ -0,0 +1,183 @@
+//! One part of the state at one seat, and the roles a seat plays in it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::config::change::Entry;
+use crate::consts::SEATS;
+use crate::disk::rec::Copy;
+use crate::names::{PartId, Seat};
+use crate::time::Tick;
+use crate::wire::msg::{Life, Map, Msg};
+
+/// A part at this seat.
+///
+/// Invariants: `copy` is what the disk holds once every write in `writes` is
+/// done, and no message that rests on a write leaves before that write is
+/// synced; while `life` is not `Formed` the seat neither votes nor accepts;
+/// `shown` is the committed state at `shown_rev` and never goes back.
+pub struct Part {
+    pub id: PartId,
+    pub life: Life,
+    pub copy: Copy,
+    pub role: Role,
+    pub writes: VecDeque<Write>,
+    pub next_token: u64,
+    /// Bytes that went to the log since the last slot.
+    pub log_len: u64,
+    /// Why this seat has stepped back, if it has.
+    pub sick: Option<String>,
+    /// When a stepped-back seat tries its disk again.
+    pub mend_at: Tick,
+    pub shown: Map,
+    pub shown_rev: u64,
+    /// A whole copy that is not known to be committed yet: (revision, map).
+    pub seed: Option<(u64, Map)>,
+    /// Changes without a gap up to `copy.rev`, from `seed` on if there is one;
+    /// those up to `shown_rev` are committed and kept for followers.
+    pub changes: VecDeque<(u64, Vec<Entry>)>,
+    /// The owner's sum differs from ours: take its next whole copy.
+    pub doubt: bool,
+    pub relearn: Relearn,
+}
+
+/// A write that is on its way to the disk, and what rests on it.
+pub struct Write {
+    pub token: u64,
+    pub at: Tick,
+    pub after: Vec<After>,
+}
+
+/// What is done once a write is synced.
+pub enum After {
+    Send(Seat, Msg),
+    /// Our own copy holds this revision of our epoch.
+    OwnKept { epoch: u64, rev: u64 },
+    /// Our own promise for a claim stands.
+    OwnPromise { epoch: u64 },
+    Formed,
+}
+
+/// What a seat does in a part.
+pub enum Role {
+    Follower { heard: Tick, owner: Option<(Seat, u64)> },
+    /// Asks whether a claim would be granted; changes nothing anywhere.
+    Sounding { epoch: u64, yes: [bool; SEATS], until: Tick },
+    Claiming(Claim),
+    Owner(Box<Owner>),
+}
+
+/// A claim on the way: promises are gathered, then the newest copy fetched.
+pub struct Claim {
+    pub epoch: u64,
+    /// (epoch, revision) of the copy of each seat that granted.
+    pub grants: [Option<(u64, u64)>; SEATS],
+    /// The seat whose newer copy is being fetched.
+    pub fetch: Option<Seat>,
+    pub until: Tick,
+}
+
+/// The owner of a part.
+///
+/// Invariants: its copy was written under its own `epoch` before anything
+/// else; `serves` only once a majority holds that; `done` is synced by a
+/// majority and never falls.
+pub struct Owner {
+    pub epoch: u64,
+    pub since: Tick,
+    pub serves: bool,
+    /// Highest revision of this epoch that each seat has synced.
+    pub kept: [Option<u64>; SEATS],
+    pub done: u64,
+    /// Whether a whole copy is on its way to a seat, and since when.
+    pub whole_at: [Option<Tick>; SEATS],
+    pub round: u64,
+    pub beat_at: Tick,
+    /// Rounds of beats: number, begin, and our revision then.
+    pub rounds: VecDeque<(u64, Tick, u64)>,
+    /// The last round each seat answered, and when that round began.
+    pub answered: [(u64, Tick); SEATS],
+    pub waits: Vec<Waiting>,
+    pub reads: Vec<Reading>,
+    /// Leafs that the list no longer names, since when.
+    pub absent: BTreeMap<String, Tick>,
+    /// Highest fence seen in a proposal of the list's duty.
+    pub fence: (u64, u64),
+}
+
+/// A change whose operator waits.
+pub struct Waiting {
+    pub rev: u64,
+    pub op: OpFrom,
+    pub again: bool,
+    pub done_at: Option<Tick>,
+    pub until: Tick,
+}
+
+/// A read that waits for a round of beats to prove we still own the part.
+pub struct Reading {
+    pub round: u64,
+    pub op: OpFrom,
+    pub until: Tick,
+}
+
+/// Where an operator's request came from.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct OpFrom {
+    /// `None`: from this very process.
+    pub seat: Option<Seat>,
+    pub op: u64,
+}
+
+/// How a replica that has nothing finds its place again.
+#[derive(Default)]
+pub struct Relearn {
+    pub nonce: u64,
+    pub rounds: u64,
+    pub ask_at: Tick,
+    pub stands: [Option<Stand>; SEATS],
+    pub fetch: Option<Seat>,
+}
+
+/// How another seat says it stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Stand {
+    pub life: Life,
+    pub promised: u64,
+    pub epoch: u64,
+    pub rev: u64,
+}
+
+/// A part as found on disk at a start.
+pub fn part(id: PartId, life: Life, copy: Copy, log_len: u64, now: Tick) -> Part {
+    let seed = (copy.rev > 0).then(|| (copy.rev, copy.map.clone()));
+    Part {
+        id,
+        life,
+        copy,
+        role: Role::Follower { heard: now, owner: None },
+        writes: VecDeque::new(),
+        next_token: 1,
+        log_len,
+        sick: None,
+        mend_at: 0,
+        shown: Map::new(),
+        shown_rev: 0,
+        seed,
+        changes: VecDeque::new(),
+        doubt: false,
+        relearn: Relearn::default(),
+    }
+}
+
+/// Whether this seat may vote and accept.
+pub fn able(p: &Part) -> bool {
+    p.life == Life::Formed && p.sick.is_none()
+}
+
+/// The owner's state if this seat owns the part.
+pub fn owner(p: &mut Part) -> Option<&mut Owner> {
+    match &mut p.role {
+        Role::Owner(o) => Some(o),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/state/relearn.rs
@@ -0,0 +1,142 @@
+//! How a replica that has nothing, or nothing it can trust, comes to vote.
+//!
+//! It asks the two others. If all three have never held anything this is a
+//! first boot, and it begins with an empty copy. If both others are formed
+//! it takes the newest copy and the highest promise of the two: any value
+//! that it helped to accept in a former life was synced by one of them too.
+//! In any other case (two disks lost) it waits, and says so.
+
+use super::core::{Command, others};
+use super::part::{After, Part, Stand};
+use super::replica::keep_whole;
+use crate::consts::{self, SEATS};
+use crate::disk::rec::Copy;
+use crate::luck::{Luck, draw};
+use crate::names::Seat;
+use crate::time::Tick;
+use crate::wire::msg::{Life, Map, Msg};
+
+/// Rounds of asking after which a stuck replica raises an alarm.
+const LOUD_AFTER: u64 = 40;
+
+/// Time passes for a replica that is not formed.
+pub fn wake(p: &mut Part, now: Tick, seat: Seat, luck: &mut Luck, out: &mut Vec<Command>) {
+    if p.life == Life::Formed || now < p.relearn.ask_at || !p.writes.is_empty() {
+        return;
+    }
+    let r = &mut p.relearn;
+    if r.stands.iter().flatten().count() == SEATS - 1 {
+        r.rounds += 1;
+        if r.rounds % LOUD_AFTER == 0 {
+            let text = format!(
+                "part {}: this replica can't relearn, since another is {}; if two disks are \
+                 lost, see the handbook on restoring",
+                p.id,
+                if r.stands.iter().flatten().any(|s| s.life == Life::Damaged) {
+                    "damaged"
+                } else {
+                    "empty"
+                }
+            );
+            out.push(Command::Alarm(text));
+        }
+    }
+    // A fresh nonce: only answers to this life and this round count.
+    r.nonce = draw(luck);
+    r.ask_at = now + consts::ASK_AROUND;
+    r.stands = [None; SEATS];
+    r.fetch = None;
+    for to in others(seat) {
+        let msg = Msg::AskStand { part: p.id, nonce: r.nonce };
+        out.push(Command::ToSeat { seat: to, msg });
+    }
+}
+
+/// Another replica asks how we stand.
+pub fn stand(p: &Part, from: Seat, nonce: u64, out: &mut Vec<Command>) {
+    if p.sick.is_some() {
+        return;
+    }
+    let (promised, epoch, rev) = (p.copy.promised, p.copy.epoch, p.copy.rev);
+    let msg = Msg::Stand { part: p.id, nonce, life: p.life, promised, epoch, rev };
+    out.push(Command::ToSeat { seat: from, msg });
+}
+
+/// A seat that can give its copy gives it.
+pub fn give(p: &Part, from: Seat, nonce: u64, out: &mut Vec<Command>) {
+    if !super::part::able(p) {
+        return;
+    }
+    let Copy { promised, epoch, rev, map } = p.copy.clone();
+    let msg = Msg::GiveWhole { part: p.id, nonce, promised, epoch, rev, map };
+    out.push(Command::ToSeat { seat: from, msg });
+}
+
+/// An answer to our asking.
+pub fn stood(p: &mut Part, now: Tick, from: Seat, nonce: u64, s: Stand, out: &mut Vec<Command>) {
+    if p.life == Life::Formed || nonce != p.relearn.nonce || !p.writes.is_empty() {
+        return;
+    }
+    p.relearn.stands[usize::from(from)] = Some(s);
+    let all: Vec<(usize, Stand)> = p
+        .relearn
+        .stands
+        .iter()
+        .enumerate()
+        .filter_map(|(i, s)| s.map(|s| (i, s)))
+        .collect();
+    if all.len() < SEATS - 1 || p.relearn.fetch.is_some() {
+        return;
+    }
+    let bare = |s: &Stand| {
+        s.life == Life::Empty
+            || (s.life == Life::Formed && s.epoch == 0 && s.rev == 0 && s.promised == 0)
+    };
+    if p.life == Life::Empty && all.iter().all(|(_, s)| bare(s)) {
+        p.copy = Copy::default();
+        return keep_whole(p, now, vec![After::Formed], out);
+    }
+    if all.iter().all(|(_, s)| s.life == Life::Formed) {
+        let best = all.iter().max_by_key(|(_, s)| (s.epoch, s.rev));
+        if let Some((seat, _)) = best {
+            let nonce = p.relearn.nonce;
+            p.relearn.fetch = Some(*seat as Seat);
+            p.relearn.ask_at = now + consts::CLAIM_PATIENCE;
+            let msg = Msg::AskWhole { part: p.id, nonce };
+            out.push(Command::ToSeat { seat: *seat as Seat, msg });
+        }
+    }
+}
+
+/// The newest copy has come.
+pub fn fetched(
+    p: &mut Part,
+    now: Tick,
+    from: Seat,
+    nonce: u64,
+    (promised, at): (u64, (u64, u64)),
+    map: Map,
+    out: &mut Vec<Command>,
+) {
+    let r = &p.relearn;
+    if p.life == Life::Formed || nonce != r.nonce || r.fetch != Some(from) {
+        return;
+    }
+    let most = r.stands.iter().flatten().map(|s| s.promised).max().unwrap_or(0);
+    let least = r.stands.iter().flatten().map(|s| (s.epoch, s.rev)).max().unwrap_or_default();
+    if at < least || !p.writes.is_empty() {
+        return;
+    }
+    super::feed::reseed(p, at.1, &map);
+    p.copy = Copy { promised: promised.max(most), epoch: at.0, rev: at.1, map };
+    keep_whole(p, now, vec![After::Formed], out);
+}
+
+/// The first copy is on disk: from here on this replica votes.
+pub fn formed(p: &mut Part, now: Tick, out: &mut Vec<Command>) {
+    if p.life != Life::Formed {
+        p.life = Life::Formed;
+        super::replica::follow(p, now, None);
+        out.push(Command::Alarm(format!("part {}: formed at revision {}", p.id, p.copy.rev)));
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/state/replica.rs
@@ -0,0 +1,220 @@
+//! A seat as a replica: it grants claims, accepts writes and keeps them.
+
+use super::core::Command;
+use super::part::{After, Part, Role, Write, able, owner};
+use crate::consts;
+use crate::disk::rec::{Copy, Rec, apply};
+use crate::names::Seat;
+use crate::time::{Tick, since};
+use crate::wire::msg::{Map, Msg};
+
+/// Sends a record to the disk and hangs `after` on it.
+pub fn keep(p: &mut Part, now: Tick, rec: Rec, after: Vec<After>, out: &mut Vec<Command>) {
+    let token = p.next_token;
+    p.next_token += 1;
+    p.writes.push_back(Write { token, at: now, after });
+    // A rough size is enough: it only decides when to write a slot.
+    p.log_len += match &rec {
+        Rec::Promise { .. } => 32,
+        Rec::Change { entries, .. } => entries
+            .iter()
+            .map(|(k, v)| 48 + k.len() as u64 + v.as_ref().map_or(0, |v| v.len() as u64))
+            .sum(),
+    };
+    if p.log_len > consts::LOG_LIMIT.max(map_len(&p.copy.map) / 2) {
+        p.log_len = 0;
+        out.push(Command::Slot { part: p.id, token, copy: p.copy.clone() });
+    } else {
+        out.push(Command::Append { part: p.id, token, rec });
+    }
+}
+
+/// Sends the whole copy to the disk.
+pub fn keep_whole(p: &mut Part, now: Tick, after: Vec<After>, out: &mut Vec<Command>) {
+    let token = p.next_token;
+    p.next_token += 1;
+    p.writes.push_back(Write { token, at: now, after });
+    p.log_len = 0;
+    out.push(Command::Slot { part: p.id, token, copy: p.copy.clone() });
+}
+
+fn map_len(map: &Map) -> u64 {
+    map.iter().map(|(k, v)| (k.len() + v.len()) as u64).sum()
+}
+
+/// Sends a message as soon as everything accepted so far is synced.
+pub fn after_writes(p: &mut Part, to: Seat, msg: Msg, out: &mut Vec<Command>) {
+    match p.writes.back_mut() {
+        Some(w) => w.after.push(After::Send(to, msg)),
+        None => out.push(Command::ToSeat { seat: to, msg }),
+    }
+}
+
+/// Whether the seat still hears an owner, so that a claim would only disturb.
+pub fn hears_owner(p: &Part, now: Tick) -> bool {
+    match &p.role {
+        Role::Follower { heard, owner } => {
+            owner.is_some() && since(*heard, now) < consts::OWNER_SILENCE
+        }
+        Role::Owner(_) => true,
+        Role::Sounding { .. } | Role::Claiming(_) => false,
+    }
+}
+
+/// Another seat asks whether its claim would be granted.
+pub fn sound(p: &mut Part, now: Tick, from: Seat, epoch: u64, out: &mut Vec<Command>) {
+    let yes = able(p) && epoch > p.copy.promised && !hears_owner(p, now);
+    let msg = Msg::Sounded { part: p.id, epoch, yes, promised: p.copy.promised };
+    out.push(Command::ToSeat { seat: from, msg });
+}
+
+/// Another seat claims the part.
+pub fn claim(p: &mut Part, now: Tick, from: Seat, epoch: u64, out: &mut Vec<Command>) {
+    if !able(p) {
+        return;
+    }
+    if epoch <= p.copy.promised {
+        let msg = Msg::Deny { part: p.id, epoch, promised: p.copy.promised };
+        out.push(Command::ToSeat { seat: from, msg });
+        return;
+    }
+    follow(p, now, None);
+    apply(&mut p.copy, &Rec::Promise { epoch });
+    let msg = Msg::Grant { part: p.id, epoch, at_epoch: p.copy.epoch, rev: p.copy.rev };
+    keep(p, now, Rec::Promise { epoch }, vec![After::Send(from, msg)], out);
+}
+
+/// Becomes a follower; the one way out of every other role. Those who wait
+/// on an owner that resigns are handed back so that they can be told.
+pub fn follow(p: &mut Part, now: Tick, of: Option<(Seat, u64)>) -> Option<Box<super::part::Owner>> {
+    let old = std::mem::replace(&mut p.role, Role::Follower { heard: now, owner: of });
+    match old {
+        Role::Owner(o) => Some(o),
+        _ => None,
+    }
+}
+
+/// Whether a message of an owner of `epoch` is to be obeyed; denies if not.
+pub fn obey(p: &mut Part, now: Tick, from: Seat, epoch: u64, out: &mut Vec<Command>) -> bool {
+    if !able(p) {
+        return false;
+    }
+    if epoch < p.copy.promised {
+        let msg = Msg::Deny { part: p.id, epoch, promised: p.copy.promised };
+        out.push(Command::ToSeat { seat: from, msg });
+        return false;
+    }
+    match &mut p.role {
+        Role::Follower { heard, owner } => {
+            *heard = now;
+            *owner = Some((from, epoch));
+        }
+        _ => {
+            // Our own higher claim is promised first, so this one is newer.
+            resign(p, now, Some((from, epoch)), out);
+        }
+    }
+    true
+}
+
+/// Gives up whatever role we had for that of a follower.
+pub fn resign(p: &mut Part, now: Tick, of: Option<(Seat, u64)>, out: &mut Vec<Command>) {
+    if let Some(old) = follow(p, now, of) {
+        super::owner::dismiss(p, *old, out);
+    }
+}
+
+/// A whole copy from the owner.
+pub fn whole(
+    p: &mut Part,
+    now: Tick,
+    from: Seat,
+    (epoch, rev): (u64, u64),
+    map: Map,
+    out: &mut Vec<Command>,
+) {
+    if !obey(p, now, from, epoch, out) {
+        return;
+    }
+    let kept = Msg::Kept { part: p.id, epoch, rev };
+    if p.copy.epoch == epoch && p.copy.rev >= rev && !p.doubt {
+        return after_writes(p, from, kept, out);
+    }
+    p.doubt = false;
+    let promised = p.copy.promised.max(epoch);
+    super::feed::reseed(p, rev, &map);
+    p.copy = Copy { promised, epoch, rev, map };
+    keep_whole(p, now, vec![After::Send(from, kept)], out);
+}
+
+/// A change from the owner.
+pub fn change(p: &mut Part, now: Tick, from: Seat, rec: Rec, out: &mut Vec<Command>) {
+    let Rec::Change { epoch, rev, .. } = &rec else { return };
+    let (epoch, rev) = (*epoch, *rev);
+    if !obey(p, now, from, epoch, out) {
+        return;
+    }
+    if p.copy.epoch == epoch && p.copy.rev >= rev {
+        let kept = Msg::Kept { part: p.id, epoch, rev: p.copy.rev };
+        return after_writes(p, from, kept, out);
+    }
+    if !apply(&mut p.copy, &rec) {
+        out.push(Command::ToSeat { seat: from, msg: Msg::Lack { part: p.id, epoch } });
+        return;
+    }
+    if let Rec::Change { entries, .. } = &rec {
+        p.changes.push_back((rev, entries.clone()));
+    }
+    let kept = Msg::Kept { part: p.id, epoch, rev };
+    keep(p, now, rec, vec![After::Send(from, kept)], out);
+}
+
+/// A beat: the owner lives, and so much is committed.
+pub fn beat(
+    p: &mut Part,
+    now: Tick,
+    from: Seat,
+    (epoch, round): (u64, u64),
+    (done, sum): (u64, u64),
+    out: &mut Vec<Command>,
+) {
+    if !obey(p, now, from, epoch, out) {
+        return;
+    }
+    let same = p.copy.epoch == epoch;
+    if same {
+        super::feed::show(p, done);
+    }
+    if same && sum != 0 && p.copy.rev == done && super::owner::sum(&p.copy.map) != sum {
+        out.push(Command::Alarm(format!("part {}: our copy differs from the owner's", p.id)));
+        p.doubt = true;
+    }
+    if !same || p.doubt {
+        out.push(Command::ToSeat { seat: from, msg: Msg::Lack { part: p.id, epoch } });
+    }
+    // Says only that we obey this epoch and how far our memory is; that a
+    // revision is safe on disk is said by `Kept` alone.
+    let rev = if same { p.copy.rev } else { 0 };
+    out.push(Command::ToSeat { seat: from, msg: Msg::Beaten { part: p.id, epoch, round, rev } });
+}
+
+/// Whether the disk has been at one write for too long.
+pub fn stalled(p: &Part, now: Tick) -> bool {
+    p.writes.front().is_some_and(|w| since(w.at, now) > consts::DISK_STALL)
+}
+
+/// The disk failed or stalls: step back and say so.
+pub fn step_back(p: &mut Part, now: Tick, why: String, out: &mut Vec<Command>) {
+    if p.sick.is_none() {
+        out.push(Command::Alarm(format!("part {} steps back: {why}", p.id)));
+    }
+    p.sick = Some(why);
+    p.mend_at = now + consts::ASK_AROUND;
+    // What rested on writes that may never be synced must never be said.
+    for w in &mut p.writes {
+        w.after.retain(|a| matches!(a, After::Formed));
+    }
+    if owner(p).is_some() || !matches!(p.role, Role::Follower { .. }) {
+        resign(p, now, None, out);
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/state/step.rs
@@ -0,0 +1,233 @@
+//! `step` of the controller's owner.
+
+use super::core::{Command, Core, Event, Op};
+use super::part::{After, OpFrom, Role, Stand, able};
+use super::{claim, feed, leafs, members, operate, owner, relearn, replica};
+use crate::consts;
+use crate::disk::rec::Rec;
+use crate::names::{PartId, Seat, part_of};
+use crate::time::{Tick, ms};
+use crate::wire::msg::{Life, Msg};
+
+/// How often a controller looks around when nothing happens.
+pub const WAKE: crate::time::Span = ms(50);
+
+/// Takes one event and says what to do.
+pub fn step(core: &mut Core, now: Tick, event: Event) -> Vec<Command> {
+    let mut out = Vec::new();
+    match event {
+        Event::FromSeat { seat, msg } => from_seat(core, now, seat, msg, &mut out),
+        Event::FromWire { wire, msg } => from_wire(core, now, wire, msg, &mut out),
+        Event::WireGone { wire } => {
+            core.followers.swap_remove(&wire);
+            core.members.wires.retain(|_, w| *w != wire);
+        }
+        Event::Synced { part, token } => synced(core, now, part, token, &mut out),
+        Event::DiskTrouble { part, why } => {
+            let p = &mut core.parts[part.0 as usize];
+            p.writes.clear();
+            replica::step_back(p, now, why, &mut out);
+        }
+        Event::Operate { op, request, expect, deed } => {
+            let until = now + consts::OPERATE_PATIENCE;
+            operate::operate(core, now, op, Op { request, expect, deed, sent: None, until }, &mut out);
+        }
+        Event::Stop => claim::stop(core, now, &mut out),
+        Event::Wake => wake(core, now, &mut out),
+    }
+    // Outcomes for our own operators pass through the one place that knows
+    // whether to try again.
+    let mut i = 0;
+    while i < out.len() {
+        if let Command::Tell { op, .. } = &out[i]
+            && core.ops.contains_key(op)
+            && let Command::Tell { op, done } = out.remove(i)
+        {
+            operate::operated(core, now, op, done, &mut out);
+            continue;
+        }
+        i += 1;
+    }
+    feed::push(core, &mut out);
+    out
+}
+
+fn wake(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
+    let seat = core.seat;
+    for p in &mut core.parts {
+        if p.sick.is_some() {
+            mend(p, now, out);
+        } else if replica::stalled(p, now) {
+            replica::step_back(p, now, "the disk stalls".into(), out);
+        }
+        relearn::wake(p, now, seat, &mut core.luck, out);
+        let was = matches!(p.role, Role::Claiming(_));
+        match &p.role {
+            Role::Owner(_) => owner::wake(p, now, seat, out),
+            _ => claim::wake(p, now, seat, &mut core.luck, out),
+        }
+        core.counts.claims += u64::from(!was && matches!(p.role, Role::Claiming(_)));
+    }
+    members::wake(core, now, out);
+    operate::reconsider(core);
+    operate::wake(core, now, out);
+}
+
+/// A seat that stepped back tries its disk again by writing a whole slot.
+fn mend(p: &mut super::part::Part, now: Tick, out: &mut Vec<Command>) {
+    if p.life == Life::Formed && p.writes.is_empty() && now >= p.mend_at {
+        p.mend_at = now + consts::DISK_STALL;
+        replica::keep_whole(p, now, Vec::new(), out);
+    }
+}
+
+fn synced(core: &mut Core, now: Tick, part: PartId, token: u64, out: &mut Vec<Command>) {
+    let seat = core.seat;
+    let p = &mut core.parts[part.0 as usize];
+    while p.writes.front().is_some_and(|w| w.token <= token) {
+        let Some(write) = p.writes.pop_front() else { break };
+        for after in write.after {
+            match after {
+                After::Send(to, msg) => out.push(Command::ToSeat { seat: to, msg }),
+                After::OwnKept { epoch, rev } => owner::kept(p, now, seat, epoch, rev, out),
+                After::OwnPromise { epoch } => claim::own_promise(p, seat, epoch, out),
+                After::Formed => relearn::formed(p, now, out),
+            }
+        }
+    }
+    if p.writes.is_empty() && p.sick.is_some() {
+        p.sick = None;
+        replica::follow(p, now, None);
+        out.push(Command::Alarm(format!("part {part}: the disk works again")));
+        core.counts.mended += 1;
+    }
+}
+
+fn from_seat(core: &mut Core, now: Tick, from: Seat, msg: Msg, out: &mut Vec<Command>) {
+    let seat = core.seat;
+    if let Some(id) = part_named(&msg) {
+        let Some(p) = core.parts.get_mut(id.0 as usize) else { return };
+        let owned = matches!(p.role, Role::Owner(_));
+        match msg {
+            Msg::AskStand { nonce, .. } => relearn::stand(p, from, nonce, out),
+            Msg::Stand { nonce, life, promised, epoch, rev, .. } => {
+                let s = Stand { life, promised, epoch, rev };
+                relearn::stood(p, now, from, nonce, s, out);
+            }
+            Msg::AskWhole { nonce, .. } => relearn::give(p, from, nonce, out),
+            Msg::GiveWhole { nonce, promised, epoch, rev, map, .. } if able(p) => {
+                let _ = promised;
+                claim::fetched(p, now, from, nonce, (epoch, rev), map, out);
+            }
+            Msg::GiveWhole { nonce, promised, epoch, rev, map, .. } => {
+                relearn::fetched(p, now, from, nonce, (promised, (epoch, rev)), map, out);
+            }
+            Msg::Sound { epoch, .. } => replica::sound(p, now, from, epoch, out),
+            Msg::Sounded { epoch, yes, promised, .. } => {
+                claim::sounded(p, now, (seat, from), epoch, (yes, promised), out);
+            }
+            Msg::Claim { epoch, .. } => replica::claim(p, now, from, epoch, out),
+            Msg::Grant { epoch, at_epoch, rev, .. } => {
+                claim::granted(p, now, (seat, from), epoch, (at_epoch, rev), out);
+            }
+            Msg::Deny { epoch, promised, .. } => {
+                claim::denied(p, now, seat, epoch, promised, out);
+            }
+            Msg::Whole { epoch, rev, map, .. } => {
+                replica::whole(p, now, from, (epoch, rev), map, out);
+            }
+            Msg::Change { epoch, rev, entries, .. } => {
+                replica::change(p, now, from, Rec::Change { epoch, rev, entries }, out);
+            }
+            Msg::Kept { epoch, rev, .. } => owner::kept(p, now, from, epoch, rev, out),
+            Msg::Lack { epoch, .. } => {
+                core.counts.swept += 1;
+                owner::lack(p, now, from, epoch, out);
+            }
+            Msg::Beat { epoch, round, done, sum, .. } => {
+                replica::beat(p, now, from, (epoch, round), (done, sum), out);
+            }
+            Msg::Beaten { epoch, round, rev, .. } => {
+                owner::beaten(p, now, from, (epoch, round), rev, out);
+            }
+            _ => {}
+        }
+        let owns = matches!(p.role, Role::Owner(_));
+        core.counts.owned += u64::from(!owned && owns);
+        core.counts.resigned += u64::from(owned && !owns);
+        return;
+    }
+    match msg {
+        Msg::Renew { member, count, far } => {
+            members::renew(core, now, Some(from), None, (member, count, far), out);
+        }
+        Msg::Tenure { name, count, epoch } => members::granted(core, name, count, epoch, out),
+        Msg::Tell(cohort) => members::told(core, cohort, out),
+        Msg::Operate { op, request, expect, deed } => {
+            let from = OpFrom { seat: Some(from), op };
+            operate::handed(core, now, from, (request, expect, deed), out);
+        }
+        Msg::Operated { op, done } => operate::operated(core, now, op, done, out),
+        msg => report(core, now, msg, false, out),
+    }
+}
+
+fn part_named(msg: &Msg) -> Option<PartId> {
+    Some(match msg {
+        Msg::AskStand { part, .. }
+        | Msg::Stand { part, .. }
+        | Msg::AskWhole { part, .. }
+        | Msg::GiveWhole { part, .. }
+        | Msg::Sound { part, .. }
+        | Msg::Sounded { part, .. }
+        | Msg::Claim { part, .. }
+        | Msg::Grant { part, .. }
+        | Msg::Deny { part, .. }
+        | Msg::Whole { part, .. }
+        | Msg::Change { part, .. }
+        | Msg::Kept { part, .. }
+        | Msg::Lack { part, .. }
+        | Msg::Beat { part, .. }
+        | Msg::Beaten { part, .. } => *part,
+        _ => return None,
+    })
+}
+
+fn from_wire(core: &mut Core, now: Tick, wire: u64, msg: Msg, out: &mut Vec<Command>) {
+    match msg {
+        Msg::Follow { places } => {
+            if !core.followers.contains_key(&wire) {
+                members::greet(core, wire, out);
+            }
+            feed::follow(core, wire, places, out);
+        }
+        Msg::Renew { member, count, far } => {
+            members::renew(core, now, None, Some(wire), (member, count, far), out);
+        }
+        msg => report(core, now, msg, true, out),
+    }
+}
+
+/// Reports about leafs go to the owner of their part, handed over once.
+fn report(core: &mut Core, now: Tick, msg: Msg, fresh: bool, out: &mut Vec<Command>) {
+    let seat = core.seat;
+    let id = match &msg {
+        Msg::Listed { part, .. } => *part,
+        Msg::Leaving { service, .. } => part_of(service),
+        _ => return,
+    };
+    let Some(p) = core.parts.get_mut(id.0 as usize) else { return };
+    match &p.role {
+        Role::Owner(_) => match msg {
+            Msg::Listed { fence, leafs, .. } => {
+                leafs::listed(p, now, seat, fence, leafs, &mut core.counts, out);
+            }
+            Msg::Leaving { leaf, .. } => leafs::leaving(p, now, seat, &leaf, out),
+            _ => {}
+        },
+        Role::Follower { owner: Some((to, _)), .. } if fresh => {
+            out.push(Command::ToSeat { seat: *to, msg });
+        }
+        _ => {}
+    }
+}
--- a/crates/grebe/src/view/mod.rs
+++ b/crates/grebe/src/view/mod.rs
@@ -1,5 +1,4 @@
 //! What a querier knows of the world: the checked configuration and the leafs.
 
-pub mod follow;
 pub mod leafs;
 pub mod whole;
--- /dev/null
+++ b/crates/grebe/src/wire/msg.rs
@@ -0,0 +1,149 @@
+//! The messages. Each may be lost, doubled or late; the owners cope.
+
+use std::collections::BTreeMap;
+
+use nanoserde::{DeBin, SerBin};
+
+use crate::config::change::Entry;
+use crate::names::{PartId, Seat};
+use crate::view::leafs::LeafInfo;
+
+/// Who opened a wire. Sent first on each.
+#[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
+pub enum Who {
+    Seat(Seat),
+    /// A member by name.
+    Member(String),
+}
+
+/// The stored contents of a part.
+pub type Map = BTreeMap<String, Vec<u8>>;
+
+/// How a replica stands to a part.
+#[derive(Clone, Copy, Debug, PartialEq, DeBin, SerBin)]
+pub enum Life {
+    /// Nothing on disk: a first boot or an empty replacement.
+    Empty,
+    /// Something on disk that can't be trusted.
+    Damaged,
+    Formed,
+}
+
+/// A member as the cohort knows it.
+#[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
+pub struct Member {
+    pub name: String,
+    /// Where its cohort reaches it.
+    pub addr: String,
+    pub zone: String,
+    /// Traffic threads; each has its own share.
+    pub threads: u32,
+    /// Turn of the cohort in which it joined.
+    pub joined: u64,
+}
+
+/// A state of the cohort. Ordered by (`epoch`, `turn`, `settled`), never
+/// backwards.
+#[derive(Clone, Debug, PartialEq, Default, DeBin, SerBin)]
+pub struct Cohort {
+    /// Epoch of the configuration's owner that says so: the fence.
+    pub epoch: u64,
+    pub turn: u64,
+    /// Every live member has seen the cohort at this turn or later. A member
+    /// has a share only once the turn in which it joined is settled.
+    pub settled: u64,
+    pub members: Vec<Member>,
+}
+
+/// How far a member is, told with each renewal.
+#[derive(Clone, Debug, PartialEq, Default, DeBin, SerBin)]
+pub struct Progress {
+    /// Configuration revision that it obeys.
+    pub obeys: u64,
+    /// (epoch, turn) of the cohort that it has seen.
+    pub saw: (u64, u64),
+    pub ready: bool,
+    pub leaving: bool,
+}
+
+/// A place in a part's feed.
+#[derive(Clone, Copy, Debug, PartialEq, DeBin, SerBin)]
+pub struct Place {
+    pub part: PartId,
+    pub rev: u64,
+}
+
+/// What an operator's request asks.
+#[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
+pub enum Deed {
+    Whole(Vec<u8>),
+    Patch(Vec<u8>),
+    Read,
+    /// The members with their progress; the seat adds what it knows itself.
+    Status,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
+pub enum Done {
+    Accepted { revision: u64, copies: u32, again: bool },
+    Config { revision: u64, map: Map },
+    Status { cohort: Cohort, far: Vec<(String, u64, Progress)> },
+    Wrong(Vec<(String, String)>),
+    Moved { revision: u64 },
+    Bounced { why: String },
+    Unknown { why: String },
+}
+
+#[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
+pub enum Msg {
+    Hello { who: Who },
+
+    // ---- replica groups, between seats ----
+    /// How do you stand? Asked by replicas that have nothing.
+    AskStand { part: PartId, nonce: u64 },
+    Stand { part: PartId, nonce: u64, life: Life, promised: u64, epoch: u64, rev: u64 },
+    AskWhole { part: PartId, nonce: u64 },
+    GiveWhole { part: PartId, nonce: u64, promised: u64, epoch: u64, rev: u64, map: Map },
+    /// Would you grant a claim? Changes nothing.
+    Sound { part: PartId, epoch: u64 },
+    Sounded { part: PartId, epoch: u64, yes: bool, promised: u64 },
+    Claim { part: PartId, epoch: u64 },
+    Grant { part: PartId, epoch: u64, at_epoch: u64, rev: u64 },
+    /// Refused, because this higher epoch was promised.
+    Deny { part: PartId, epoch: u64, promised: u64 },
+    Whole { part: PartId, epoch: u64, rev: u64, map: Map },
+    Change { part: PartId, epoch: u64, rev: u64, entries: Vec<Entry> },
+    /// Synced up to here.
+    Kept { part: PartId, epoch: u64, rev: u64 },
+    /// Can't follow: send the whole.
+    Lack { part: PartId, epoch: u64 },
+    Beat { part: PartId, epoch: u64, round: u64, done: u64, sum: u64 },
+    Beaten { part: PartId, epoch: u64, round: u64, rev: u64 },
+
+    // ---- the feed ----
+    /// Where the follower stands in each part; also asks for what is newer.
+    Follow { places: Vec<Place> },
+    /// `from` is the place it continues; a snapshot has none.
+    News { part: PartId, from: Option<u64>, rev: u64, entries: Vec<Entry> },
+    /// How far a seat has accepted the configuration, and whether it can say.
+    Reach { formed: bool, rev: u64 },
+
+    // ---- members ----
+    Renew { member: Member, count: u64, far: Progress },
+    Tenure { name: String, count: u64, epoch: u64 },
+    Tell(Cohort),
+    /// Between cohort members: how old the sender's word from the core is,
+    /// and what it holds. `reply` asks for the same in return.
+    Gossip { name: String, core_age_ms: u64, ready: bool, places: Vec<Place>, reply: bool },
+
+    // ---- leafs ----
+    /// The platform's list for one part, from the holder of that duty.
+    Listed { part: PartId, fence: (u64, u64), leafs: Vec<LeafInfo> },
+    /// First-hand: this leaf says it is leaving.
+    Leaving { leaf: String, service: String },
+
+    // ---- operators' requests handed over to the owner ----
+    Operate { op: u64, request: String, expect: Option<u64>, deed: Deed },
+    Operated { op: u64, done: Done },
+}
--- /dev/null
+++ b/crates/programs/src/controller/disk.rs
@@ -0,0 +1,79 @@
+//! The disk thread: writes in order, syncs what came together at once.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::Receiver;
+
+use grebe::disk::rec::{Copy, Rec};
+use grebe::names::PartId;
+use grebe::state::core::Event;
+use runtime::disk::{self, Store};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::owner::Input;
+
+/// What the disk is asked to do.
+pub enum Job {
+    Append { part: PartId, token: u64, rec: Rec },
+    Slot { part: PartId, token: u64, copy: Copy },
+}
+
+/// How a part fared in one batch.
+#[derive(Default)]
+struct Fate {
+    token: u64,
+    unsynced: bool,
+    trouble: Option<String>,
+}
+
+/// Serves until the owner is gone.
+pub fn serve(mut stores: Vec<Store>, jobs: Receiver<Job>, events: UnboundedSender<Input>) {
+    while let Ok(first) = jobs.recv() {
+        let mut batch = vec![first];
+        while let Ok(job) = jobs.try_recv() {
+            batch.push(job);
+        }
+        let mut fates: BTreeMap<PartId, Fate> = BTreeMap::new();
+        for job in batch {
+            one(&mut stores, job, &mut fates);
+        }
+        for (part, mut fate) in fates {
+            if fate.unsynced
+                && fate.trouble.is_none()
+                && let Err(e) = disk::sync(&mut stores[part.0 as usize])
+            {
+                fate.trouble = Some(e.to_string());
+            }
+            let event = match fate.trouble {
+                Some(why) => Event::DiskTrouble { part, why },
+                None => Event::Synced { part, token: fate.token },
+            };
+            if events.send(Input::Core(event)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn one(stores: &mut [Store], job: Job, fates: &mut BTreeMap<PartId, Fate>) {
+    let (part, token, got, unsynced) = match job {
+        Job::Append { part, token, rec } => {
+            let store = &mut stores[part.0 as usize];
+            (part, token, disk::append(store, &rec), true)
+        }
+        Job::Slot { part, token, copy } => {
+            let store = &mut stores[part.0 as usize];
+            (part, token, disk::slot(store, &copy), false)
+        }
+    };
+    let fate = fates.entry(part).or_default();
+    match got {
+        Ok(()) => {
+            // A whole slot holds everything that came before it, so it also
+            // ends a trouble within this batch.
+            fate.trouble = if unsynced { fate.trouble.take() } else { None };
+            fate.token = token;
+            fate.unsynced = unsynced;
+        }
+        Err(e) => fate.trouble = Some(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/programs/src/controller/door.rs
@@ -0,0 +1,169 @@
+//! The door for operators: HTTP with JSON.
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use grebe::config::{change, show};
+use grebe::consts;
+use grebe::edge::operator::{CONFIG, EXPECT_REVISION, Operated, REQUEST_ID, STATUS, write};
+use grebe::lang::finding::Finding;
+use grebe::wire::msg::{Deed, Done};
+use serde_json::{Value, json};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tracing::error;
+
+use crate::owner::Input;
+
+type Owner = UnboundedSender<Input>;
+
+/// Serves operators until told to stop.
+pub fn serve(
+    listener: std::net::TcpListener,
+    owner: Owner,
+    mut stop: tokio::sync::watch::Receiver<bool>,
+) {
+    let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(rt) => rt,
+        Err(e) => return error!("the operators' door can't be served: {e}"),
+    };
+    let router = Router::new()
+        .route(CONFIG, get(read).put(whole).patch(patch))
+        .route(STATUS, get(status))
+        .route("/metrics", get(metrics))
+        .route("/livez", get(async || "ok\n"))
+        .layer(DefaultBodyLimit::max(consts::CONFIG_LIMIT))
+        .with_state(owner);
+    let until = async move {
+        let _ = stop.wait_for(|s| *s).await;
+    };
+    if let Err(e) = rt.block_on(runtime::http::serve(listener, router, until)) {
+        error!("the operators' door: {e}");
+    }
+}
+
+fn answer(code: u16, body: &Value) -> Response {
+    let code = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let text = format!("{body}\n");
+    (code, [(header::CONTENT_TYPE, "application/json")], text).into_response()
+}
+
+/// Reads the request's heads; a request without an id gets one of its own.
+fn heads(map: &HeaderMap) -> Result<(String, Option<u64>), Response> {
+    let bad = |place: &str, text: &str| {
+        let find = json!([{ "place": place, "text": text }]);
+        answer(400, &json!({ "error": "bad-request", "findings": find }))
+    };
+    let text = |name: &str| map.get(name).map(|v| v.to_str().map(str::to_string));
+    let request = match text(REQUEST_ID) {
+        None => format!("auto-{:016x}-{:016x}", runtime::clock::nonce(), runtime::clock::nonce()),
+        Some(Ok(id)) if (1..=128).contains(&id.len()) => id,
+        Some(_) => return Err(bad(REQUEST_ID, "a request id has 1 to 128 plain characters")),
+    };
+    let expect = match text(EXPECT_REVISION) {
+        None => None,
+        Some(Ok(n)) if n.parse::<u64>().is_ok() => n.parse().ok(),
+        Some(_) => return Err(bad(EXPECT_REVISION, "expected a whole number")),
+    };
+    Ok((request, expect))
+}
+
+async fn operate(owner: &Owner, request: String, expect: Option<u64>, deed: Deed) -> Done {
+    let (tell, told) = oneshot::channel();
+    if owner.send(Input::Operate { request, expect, deed, tell }).is_err() {
+        return Done::Bounced { why: "this controller is going down".into() };
+    }
+    told.await.unwrap_or(Done::Unknown { why: "this controller went down".into() })
+}
+
+async fn read(State(owner): State<Owner>) -> Response {
+    match operate(&owner, String::new(), None, Deed::Read).await {
+        Done::Config { revision, map } => match change::config(&map) {
+            Ok(conf) => answer(200, &json!({ "revision": revision, "config": show::json(&conf) })),
+            Err(e) => answer(500, &json!({ "error": "unreadable", "text": e })),
+        },
+        other => outcome(other),
+    }
+}
+
+async fn whole(State(owner): State<Owner>, map: HeaderMap, body: Bytes) -> Response {
+    changed(owner, map, Deed::Whole(body.to_vec())).await
+}
+
+async fn patch(State(owner): State<Owner>, map: HeaderMap, body: Bytes) -> Response {
+    changed(owner, map, Deed::Patch(body.to_vec())).await
+}
+
+async fn changed(owner: Owner, map: HeaderMap, deed: Deed) -> Response {
+    match heads(&map) {
+        Err(resp) => resp,
+        Ok((request, expect)) => outcome(operate(&owner, request, expect, deed).await),
+    }
+}
+
+fn outcome(done: Done) -> Response {
+    let op = match done {
+        Done::Accepted { revision, copies, again } => {
+            Operated::Accepted { revision, copies, again }
+        }
+        Done::Wrong(list) => {
+            let all = list.into_iter().map(|(place, text)| Finding { place, text }).collect();
+            Operated::Wrong(all)
+        }
+        Done::Moved { revision } => Operated::Moved { revision },
+        Done::Bounced { why } => Operated::Bounced { why },
+        Done::Unknown { why } => Operated::Unknown { why },
+        Done::Config { .. } | Done::Status { .. } => {
+            Operated::Unknown { why: "an answer to something else".into() }
+        }
+    };
+    let (code, body) = write(&op);
+    answer(code, &body)
+}
+
+/// What this seat knows, and what the configuration's owner knows of members.
+async fn status(State(owner): State<Owner>) -> Response {
+    let (tell, told) = oneshot::channel();
+    if owner.send(Input::Own(tell)).is_err() {
+        return answer(503, &json!({ "error": "stopping" }));
+    }
+    let own = told.await.unwrap_or(Value::Null);
+    let mut body = json!({ "here": own });
+    match operate(&owner, String::new(), None, Deed::Status).await {
+        Done::Status { cohort, far } => {
+            let members: Vec<Value> = cohort
+                .members
+                .iter()
+                .map(|m| {
+                    let known = far.iter().find(|f| f.0 == m.name);
+                    json!({
+                        "name": m.name, "addr": m.addr, "zone": m.zone, "threads": m.threads,
+                        "settled": m.joined <= cohort.settled,
+                        "heard_ms_ago": known.map(|k| k.1),
+                        "obeys": known.map(|k| k.2.obeys),
+                        "ready": known.map(|k| k.2.ready),
+                    })
+                })
+                .collect();
+            body["cohort"] =
+                json!({ "epoch": cohort.epoch, "turn": cohort.turn, "members": members });
+        }
+        Done::Bounced { why } | Done::Unknown { why } => {
+            body["cohort"] = Value::Null;
+            body["trouble"] = json!(why);
+        }
+        _ => {}
+    }
+    answer(200, &body)
+}
+
+async fn metrics(State(owner): State<Owner>) -> Response {
+    let (tell, told) = oneshot::channel();
+    if owner.send(Input::Metrics(tell)).is_err() {
+        return answer(503, &json!({ "error": "stopping" }));
+    }
+    told.await.unwrap_or_default().into_response()
+}
--- /dev/null
+++ b/crates/programs/src/controller/main.rs
@@ -0,0 +1,82 @@
+//! The control plane: keeps a seat's copies of every part, owns some of them,
+//! feeds the queriers and takes the operators' requests.
+
+mod disk;
+mod door;
+mod metrics;
+mod owner;
+mod params;
+
+use std::sync::mpsc;
+
+use grebe::disk::read::Found;
+use grebe::disk::rec::Copy;
+use grebe::names::{PartId, parts};
+use grebe::wire::msg::Life;
+use runtime::disk::Store;
+use tracing::{error, warn};
+
+fn main() {
+    runtime::ring::install();
+    let p = params::read();
+    if let Err(e) = run(p) {
+        error!("{e}");
+        eprintln!("controller: {e}");
+        std::process::exit(1);
+    }
+}
+
+/// A part as found on disk, ready for the core.
+type FoundPart = (PartId, Life, Copy, u64);
+
+fn run(p: params::Params) -> Result<(), std::io::Error> {
+    let _lock = runtime::disk::lock(&p.data)?;
+    params::check_seat(&p)?;
+    let mut stores: Vec<Store> = Vec::new();
+    let mut found: Vec<FoundPart> = Vec::new();
+    let mut sick: Vec<(PartId, String)> = Vec::new();
+    for part in parts() {
+        let (mut store, got) = runtime::disk::open(&p.data, part)?;
+        match got {
+            Found::Empty => found.push((part, Life::Empty, Copy::default(), 0)),
+            Found::Damaged(why) => {
+                warn!(%part, why, "the files are damaged and set aside; relearning");
+                found.push((part, Life::Damaged, Copy::default(), 0));
+            }
+            Found::Good { copy, torn, .. } => {
+                if torn {
+                    warn!(%part, "a torn tail of the log was dropped");
+                }
+                if let Err(e) = runtime::disk::slot(&mut store, &copy) {
+                    sick.push((part, e.to_string()));
+                }
+                found.push((part, Life::Formed, copy, 0));
+            }
+        }
+        stores.push(store);
+    }
+    // All params are good and the disk was read: now ports are opened.
+    let inner = std::net::TcpListener::bind(p.inner)?;
+    let door = runtime::http::listen(p.listen)?;
+    println!("controller {} inner {} door {}", p.seat, inner.local_addr()?, door.local_addr()?);
+    let clock = runtime::clock::clock();
+    let (disk_tx, disk_rx) = mpsc::channel();
+    let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
+    let disk_events = tx.clone();
+    let disk_thread = std::thread::Builder::new()
+        .name("disk".into())
+        .spawn(move || disk::serve(stores, disk_rx, disk_events))?;
+    let door_tx = tx.clone();
+    let (stop_tx, stop_rx) = tokio::sync::watch::channel(false);
+    let door_thread = std::thread::Builder::new()
+        .name("door".into())
+        .spawn(move || door::serve(door, door_tx, stop_rx))?;
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    let end = local.block_on(&rt, owner::serve(p, clock, found, sick, inner, disk_tx, tx, rx));
+    let _ = stop_tx.send(true);
+    drop(local);
+    drop(rt);
+    let joined = door_thread.join().is_ok() && disk_thread.join().is_ok();
+    end.and(if joined { Ok(()) } else { Err(std::io::Error::other("a thread failed")) })
+}
--- /dev/null
+++ b/crates/programs/src/controller/metrics.rs
@@ -0,0 +1,79 @@
+//! What a controller says of itself: for `status` and for Prometheus.
+
+use std::fmt::Write;
+
+use grebe::state::core::Core;
+use grebe::state::part::{Part, Role};
+use grebe::time::{MILLI, Tick, since};
+use grebe::wire::msg::Life;
+use serde_json::{Value, json};
+
+fn role(p: &Part) -> &'static str {
+    match &p.role {
+        _ if p.life == Life::Damaged => "damaged",
+        _ if p.life == Life::Empty => "empty",
+        _ if p.sick.is_some() => "sick",
+        Role::Follower { .. } => "follower",
+        Role::Sounding { .. } => "sounding",
+        Role::Claiming(_) => "claiming",
+        Role::Owner(o) if o.serves => "owner",
+        Role::Owner(_) => "owner-to-be",
+    }
+}
+
+/// This seat's parts as JSON.
+pub fn own(core: &Core, zone: &str, now: Tick) -> Value {
+    let parts: Vec<Value> = core
+        .parts
+        .iter()
+        .map(|p| {
+            let owner = match &p.role {
+                Role::Owner(_) => Some(core.seat),
+                Role::Follower { owner, .. } => owner.map(|o| o.0),
+                _ => None,
+            };
+            let silent = match &p.role {
+                Role::Follower { heard, .. } => since(*heard, now) / MILLI,
+                _ => 0,
+            };
+            json!({
+                "part": p.id.to_string(), "role": role(p), "owner": owner,
+                "epoch": p.copy.epoch, "promised": p.copy.promised, "revision": p.copy.rev,
+                "shown": p.shown_rev, "owner_silent_ms": silent, "sick": p.sick,
+                "writes_waiting": p.writes.len(),
+            })
+        })
+        .collect();
+    json!({ "seat": core.seat, "zone": zone, "parts": parts })
+}
+
+/// Prometheus text.
+pub fn text(core: &Core) -> String {
+    let mut out = String::new();
+    let c = &core.counts;
+    let mut count = |name: &str, help: &str, val: u64| {
+        let _ = writeln!(out, "# HELP {name} {help}\n# TYPE {name} counter\n{name} {val}");
+    };
+    count("grebe_accepted_total", "Operators' changes accepted.", c.accepted);
+    count("grebe_not_accepted_total", "Operators' requests not accepted.", c.bounced);
+    count("grebe_claims_total", "Claims of parts begun.", c.claims);
+    count("grebe_owned_total", "Parts that came to be owned.", c.owned);
+    count("grebe_resigned_total", "Ownerships given up.", c.resigned);
+    count("grebe_disk_mended_total", "Times a disk worked again after trouble.", c.mended);
+    count("grebe_lacking_total", "Times a replica asked for a whole copy.", c.swept);
+    count("grebe_news_total", "Messages of news sent to followers.", c.news);
+    count("grebe_fenced_total", "Reports turned away by a fence.", c.fenced);
+    let _ = writeln!(out, "# HELP grebe_followers Wires that follow the feed.");
+    let _ = writeln!(out, "# TYPE grebe_followers gauge\ngrebe_followers {}", core.followers.len());
+    let _ = writeln!(out, "# HELP grebe_part_revision Committed revision shown, by part.");
+    let _ = writeln!(out, "# TYPE grebe_part_revision gauge");
+    for p in &core.parts {
+        let _ = writeln!(out, "grebe_part_revision{{part=\"{}\"}} {}", p.id, p.shown_rev);
+    }
+    let _ = writeln!(out, "# HELP grebe_part_role Role in each part, 1 for the present one.");
+    let _ = writeln!(out, "# TYPE grebe_part_role gauge");
+    for p in &core.parts {
+        let _ = writeln!(out, "grebe_part_role{{part=\"{}\",role=\"{}\"}} 1", p.id, role(p));
+    }
+    out
+}
--- /dev/null
+++ b/crates/programs/src/grebectl/main.rs
@@ -0,0 +1,18 @@
+//! The operators' command line.
+
+mod cli;
+mod net;
+mod show;
+mod verbs;
+
+fn main() {
+    let args = cli::read();
+    let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(rt) => rt,
+        Err(e) => {
+            eprintln!("grebectl: {e}");
+            std::process::exit(cli::EXIT_TROUBLE);
+        }
+    };
+    std::process::exit(rt.block_on(verbs::run(args)));
+}
--- /dev/null
+++ b/crates/programs/src/grebectl/show.rs
@@ -0,0 +1,142 @@
+//! What is printed, for people or as JSON.
+
+use grebe::config::build::{Mapping, needed};
+use grebe::edge::operator::findings;
+use grebe::lang::compile::Send;
+use grebe::lang::finding::Finding;
+use grebe::query::step::shard_of;
+use grebe::time::MILLI;
+use serde_json::{Value, json};
+
+/// Prints findings.
+pub fn wrong(all: &[Finding], as_json: bool) {
+    if as_json {
+        println!("{}", json!({ "error": "wrong", "findings": findings(all) }));
+    } else {
+        for f in all {
+            println!("{f}");
+        }
+    }
+}
+
+/// The plan of a mapping, and of a key's lookup.
+pub fn plan(m: &Mapping, key: Option<&str>) -> Value {
+    let planned: Vec<usize> = match (m.send, key) {
+        (Send::One, Some(key)) => vec![shard_of(m, key)],
+        _ => (0..m.shards.len()).collect(),
+    };
+    let shards: Vec<Value> = planned
+        .iter()
+        .map(|i| {
+            let s = &m.shards[*i];
+            let pools: Vec<Value> = s
+                .pools
+                .iter()
+                .map(|p| {
+                    json!({ "pool": p.name, "service": p.service, "bears": p.bears,
+                            "ramp_ms": p.ramp / MILLI })
+                })
+                .collect();
+            json!({ "shard": s.name, "pools": pools })
+        })
+        .collect();
+    json!({
+        "search": m.name, "class": grebe::config::show::class_word(m.class as i32),
+        "cut": m.cut, "send": if m.send == Send::Wide { "wide" } else { "one by key" },
+        "promise_ms": m.promise / MILLI, "attempts": m.attempts,
+        "wait_pct": m.wait_pct, "stop_pct": m.stop_pct,
+        "prefer": if m.local { "local" } else { "any" },
+        "planned": planned.len(), "needed": needed(m.quorum, planned.len()), "shards": shards,
+    })
+}
+
+/// A plan for people.
+pub fn plan_text(p: &Value) -> String {
+    let mut out = format!(
+        "search {} ({}), cut {}, send {}\n  answers with {} of {} shards or bounces; promised in {} ms\n  \
+         a second try after {}% of the time left, {} tries a shard at most, leafs: {}\n  \
+         quorum is enough after {}% of the time\n",
+        text(&p["search"]),
+        text(&p["class"]),
+        p["cut"],
+        text(&p["send"]),
+        p["needed"],
+        p["planned"],
+        p["promise_ms"],
+        p["wait_pct"],
+        p["attempts"],
+        text(&p["prefer"]),
+        p["stop_pct"],
+    );
+    for s in list(&p["shards"]) {
+        out += &format!("  shard {}:", text(&s["shard"]));
+        for pool in list(&s["pools"]) {
+            out += &format!(
+                " {} (service {}, bears {}, ramp {} ms)",
+                text(&pool["pool"]),
+                text(&pool["service"]),
+                pool["bears"],
+                pool["ramp_ms"]
+            );
+        }
+        out.push('\n');
+    }
+    out
+}
+
+fn text(v: &Value) -> String {
+    v.as_str().map_or_else(|| v.to_string(), str::to_string)
+}
+
+fn list(v: &Value) -> &[Value] {
+    v.as_array().map_or(&[], Vec::as_slice)
+}
+
+/// The status of all controllers, for people. `seats` are the answers, each
+/// with its address.
+pub fn status_text(seats: &[(String, Result<Value, String>)]) -> String {
+    let mut out = String::new();
+    for (addr, got) in seats {
+        match got {
+            Err(e) => out += &format!("controller at {addr}: {e}\n"),
+            Ok(v) => {
+                let here = &v["here"];
+                out += &format!("controller {} in zone {} at {addr}\n", here["seat"], text(&here["zone"]));
+                for p in list(&here["parts"]) {
+                    out += &format!(
+                        "  {:<11} {:<11} owner {:<5} epoch {:<5} revision {:<6} shown {}{}\n",
+                        text(&p["part"]),
+                        text(&p["role"]),
+                        text(&p["owner"]),
+                        text(&p["epoch"]),
+                        text(&p["revision"]),
+                        p["shown"],
+                        p["sick"].as_str().map_or(String::new(), |s| format!("  SICK: {s}")),
+                    );
+                }
+            }
+        }
+    }
+    let cohort = seats.iter().find_map(|(_, v)| match v {
+        Ok(v) if !v["cohort"].is_null() => Some(&v["cohort"]),
+        _ => None,
+    });
+    match cohort {
+        None => out += "members: unknown, the configuration has no owner that answers\n",
+        Some(c) => {
+            out += &format!("members (epoch {}, turn {}):\n", c["epoch"], c["turn"]);
+            for m in list(&c["members"]) {
+                out += &format!(
+                    "  {:<12} zone {:<6} obeys {:<6} ready {:<6} heard {} ms ago{}\n",
+                    text(&m["name"]),
+                    text(&m["zone"]),
+                    text(&m["obeys"]),
+                    text(&m["ready"]),
+                    text(&m["heard_ms_ago"]),
+                    if m["settled"] == true { "" } else { "  joining" },
+                );
+            }
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/programs/src/proof/backs.rs
@@ -0,0 +1,451 @@
+//! Stand-in back ends in one process: leafs with their own ports, and the
+//! platform's list. Leafs log what they ran, for the checker.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use grebe::digest::digest;
+use grebe::edge::leaf as edge;
+use grebe::luck::{Luck, below, luck};
+use http_body_util::BodyExt;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, JoinSet};
+
+use super::oracle;
+use super::spec::{Service, Spec};
+
+/// How a leaf misbehaves.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Mode {
+    Good,
+    /// Takes so much longer.
+    Slow(u64),
+    /// Takes connections and requests and never answers.
+    Dark,
+    /// Stops for so long (ms) every so often (ms).
+    Pauses { every: u64, pause: u64 },
+    Garbage,
+    CutShort,
+    Disorder,
+    NoPostmark,
+    TwoPostmarks,
+    StalePostmark,
+    WrongCut,
+    Overlong,
+    /// Turns every request away unrun.
+    Unrun,
+}
+
+/// A leaf's state.
+pub struct Leaf {
+    pub name: String,
+    pub service: Service,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub mode: Mode,
+    pub leaving: bool,
+    pub born: Instant,
+    pub live: u32,
+    /// Most dispatches it had at once over what it could bear then, in
+    /// hundredths.
+    pub worst_pct: u32,
+    pub ran: u64,
+    /// Requests for another leaf, another service, or with a changed question:
+    /// all turned away unrun.
+    pub misdirected: u64,
+    pub changed: u64,
+    pub postmark: Option<String>,
+    pub alive: Option<AbortHandle>,
+    /// When it was told to leave, and new work it got after that.
+    pub left_at: Option<Instant>,
+    pub late_work_ms: u64,
+}
+
+/// A line of the log of runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    pub leaf: String,
+    pub service: String,
+    pub cut: String,
+    pub zone: String,
+    pub query: String,
+    pub question: String,
+    pub key: Option<String>,
+    /// Milliseconds since the process began.
+    pub at_ms: u64,
+}
+
+/// All stand-in back ends of one process.
+pub struct Backs {
+    pub leafs: BTreeMap<String, Rc<RefCell<Leaf>>>,
+    pub runs: Rc<RefCell<Vec<Run>>>,
+    /// States of the list with the time from which each is shown.
+    pub shown: Vec<(Instant, Value)>,
+    pub lag: Duration,
+    /// Overrides the list's answer: `empty`, `garbage` or `dead`.
+    pub list_mode: Option<String>,
+    pub luck: Rc<RefCell<Luck>>,
+    pub zero: Instant,
+    pub next: u64,
+}
+
+/// The zones of the stand-ins' machines.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Starts all leafs of a spec, warm.
+pub async fn start(spec: &Spec, seed: u64) -> std::io::Result<Rc<RefCell<Backs>>> {
+    let backs = Rc::new(RefCell::new(Backs {
+        leafs: BTreeMap::new(),
+        runs: Rc::default(),
+        shown: Vec::new(),
+        lag: Duration::from_millis(spec.list_lag_ms),
+        list_mode: None,
+        luck: Rc::new(RefCell::new(luck(seed))),
+        zero: Instant::now(),
+        next: 1,
+    }));
+    for service in &spec.services {
+        for i in 0..service.leafs {
+            let zone = ZONES[i % ZONES.len()];
+            let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+            let warm = Duration::from_millis(service.ramp_ms);
+            begin(&backs, service.clone(), zone, addr, warm).await?;
+        }
+    }
+    let now = Instant::now();
+    let list = list_now(&backs.borrow());
+    backs.borrow_mut().shown.push((now, list));
+    Ok(backs)
+}
+
+/// Starts one leaf that has run for `age`.
+pub async fn begin(
+    backs: &Rc<RefCell<Backs>>,
+    service: Service,
+    zone: &str,
+    addr: SocketAddr,
+    age: Duration,
+) -> std::io::Result<String> {
+    let listener = bind(addr).await?;
+    let addr = listener.local_addr()?;
+    let mut b = backs.borrow_mut();
+    let name = format!("{}.{}", service.name, b.next);
+    b.next += 1;
+    let now = Instant::now();
+    let leaf = Rc::new(RefCell::new(Leaf {
+        name: name.clone(),
+        service,
+        addr,
+        zone: zone.to_string(),
+        mode: Mode::Good,
+        leaving: false,
+        born: now.checked_sub(age).unwrap_or(now),
+        live: 0,
+        worst_pct: 0,
+        ran: 0,
+        misdirected: 0,
+        changed: 0,
+        postmark: None,
+        alive: None,
+        left_at: None,
+        late_work_ms: 0,
+    }));
+    let serving = serve(listener, leaf.clone(), b.runs.clone(), b.luck.clone(), b.zero);
+    let task = tokio::task::spawn_local(serving);
+    leaf.borrow_mut().alive = Some(task.abort_handle());
+    b.leafs.insert(name.clone(), leaf);
+    Ok(name)
+}
+
+/// Binds, trying again for a moment: a killed leaf's port frees up late.
+async fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        let sock = tokio::net::TcpSocket::new_v4()?;
+        sock.set_reuseaddr(true)?;
+        match sock.bind(addr).and_then(|()| sock.listen(1024)) {
+            Ok(listener) => return Ok(listener),
+            Err(e) if tries >= 40 => return Err(e),
+            Err(_) => tries += 1,
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+}
+
+/// Ends a leaf with all its connections, as a kill does.
+pub fn kill(leaf: &Rc<RefCell<Leaf>>) {
+    if let Some(task) = leaf.borrow_mut().alive.take() {
+        task.abort();
+    }
+}
+
+/// The list as it truly is now.
+pub fn list_now(b: &Backs) -> Value {
+    let leafs: Vec<Value> = b
+        .leafs
+        .values()
+        .filter(|l| l.borrow().alive.is_some())
+        .map(|l| {
+            let l = l.borrow();
+            json!({
+                "leaf": l.name, "service": l.service.name, "addr": l.addr.to_string(),
+                "labels": { "zone": l.zone, "cut": l.service.cut,
+                            "state": if l.leaving { "leaving" } else { "ready" } },
+            })
+        })
+        .collect();
+    json!({ "leafs": leafs })
+}
+
+/// Notes that the truth has changed; the list shows it later.
+pub fn changed(b: &mut Backs) {
+    let at = Instant::now() + b.lag;
+    let list = list_now(b);
+    b.shown.push((at, list));
+}
+
+/// The list as the platform shows it now.
+pub fn shown(b: &mut Backs) -> Value {
+    let now = Instant::now();
+    while b.shown.len() > 1 && b.shown[1].0 <= now {
+        b.shown.remove(0);
+    }
+    b.shown.first().map_or(json!({ "leafs": [] }), |s| s.1.clone())
+}
+
+async fn serve(
+    listener: TcpListener,
+    leaf: Rc<RefCell<Leaf>>,
+    runs: Rc<RefCell<Vec<Run>>>,
+    luck: Rc<RefCell<Luck>>,
+    zero: Instant,
+) {
+    let mut wires = JoinSet::new();
+    loop {
+        tokio::select! {
+            got = listener.accept() => {
+                let Ok((stream, _)) = got else { continue };
+                let _ = stream.set_nodelay(true);
+                let (leaf, runs, luck) = (leaf.clone(), runs.clone(), luck.clone());
+                let service = service_fn(move |req| {
+                    handle(leaf.clone(), runs.clone(), luck.clone(), zero, req)
+                });
+                wires.spawn_local(async move {
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+            Some(_) = wires.join_next() => {}
+        }
+    }
+}
+
+/// What the leaf bears at its age.
+fn bears(l: &Leaf) -> u32 {
+    let age = l.born.elapsed().as_millis() as u64;
+    let full = u64::from(l.service.bears);
+    if l.service.ramp_ms == 0 || age >= l.service.ramp_ms {
+        return l.service.bears;
+    }
+    ((full * (10 * l.service.ramp_ms + 90 * age) / (100 * l.service.ramp_ms)) as u32).max(1)
+}
+
+/// A body that may break off before its end.
+pub struct Body {
+    bytes: Option<Bytes>,
+    cut: bool,
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<hyper::body::Frame<Bytes>, std::io::Error>>> {
+        use std::task::Poll::Ready;
+        match self.bytes.take() {
+            Some(bytes) => Ready(Some(Ok(hyper::body::Frame::data(bytes)))),
+            None if self.cut => Ready(Some(Err(std::io::Error::other("cut short")))),
+            None => Ready(None),
+        }
+    }
+}
+
+type Reply = Response<Body>;
+
+/// Counts a dispatch out again, however its handling ends.
+struct Live(Rc<RefCell<Leaf>>);
+
+impl Drop for Live {
+    fn drop(&mut self) {
+        self.0.borrow_mut().live -= 1;
+    }
+}
+
+async fn handle(
+    leaf: Rc<RefCell<Leaf>>,
+    runs: Rc<RefCell<Vec<Run>>>,
+    luck: Rc<RefCell<Luck>>,
+    zero: Instant,
+    req: Request<hyper::body::Incoming>,
+) -> Result<Reply, Infallible> {
+    let head = |name: &str| {
+        req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_string()
+    };
+    let (want, service) = (head(edge::EXPECT_LEAF), head(edge::EXPECT_SERVICE));
+    let (query, sum) = (head(edge::QUERY_ID), head(edge::QUESTION_DIGEST));
+    let body = match req.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return Ok(plain(&leaf, 400)),
+    };
+    {
+        let mut l = leaf.borrow_mut();
+        if want != l.name || service != l.service.name {
+            l.misdirected += 1;
+            drop(l);
+            return Ok(unrun(&leaf, edge::MISDIRECTED));
+        }
+        if digest(&body) != sum {
+            l.changed += 1;
+            drop(l);
+            return Ok(unrun(&leaf, 400));
+        }
+    }
+    let Ok(asked) = serde_json::from_slice::<Value>(&body) else {
+        return Ok(unrun(&leaf, 400));
+    };
+    let (live, bear, mode) = {
+        let mut l = leaf.borrow_mut();
+        l.live += 1;
+        let bear = bears(&l);
+        l.worst_pct = l.worst_pct.max(l.live * 100 / bear);
+        if let Some(at) = l.left_at {
+            l.late_work_ms = l.late_work_ms.max(at.elapsed().as_millis() as u64);
+        }
+        (l.live, bear, l.mode.clone())
+    };
+    let _live = Live(leaf.clone());
+    if mode == Mode::Unrun || live > bear * 3 {
+        return Ok(unrun(&leaf, 503));
+    }
+    let question = asked["question"].as_str().unwrap_or_default().to_string();
+    let key = asked["key"].as_str().map(str::to_string);
+    let limit = asked["limit"].as_u64().unwrap_or(0) as usize;
+    note_run(&leaf, &runs, zero, &query, &question, &key);
+    let base = leaf.borrow().service.took_ms;
+    let noise = below(&mut luck.borrow_mut(), base + 1);
+    let over = u64::from(live.saturating_sub(bear)) * base / u64::from(bear.max(1));
+    let extra = match &mode {
+        Mode::Slow(ms) => *ms,
+        Mode::Dark => 3_600_000,
+        Mode::Pauses { every, pause } => {
+            let phase = zero.elapsed().as_millis() as u64 % every;
+            pause.saturating_sub(phase)
+        }
+        _ => 0,
+    };
+    tokio::time::sleep(Duration::from_millis(base / 2 + noise / 2 + over + extra)).await;
+    Ok(answer(&leaf, &mode, &query, &sum, (&question, key.as_deref(), limit)))
+}
+
+fn note_run(
+    leaf: &Rc<RefCell<Leaf>>,
+    runs: &Rc<RefCell<Vec<Run>>>,
+    zero: Instant,
+    query: &str,
+    question: &str,
+    key: &Option<String>,
+) {
+    let mut l = leaf.borrow_mut();
+    l.ran += 1;
+    runs.borrow_mut().push(Run {
+        leaf: l.name.clone(),
+        service: l.service.name.clone(),
+        cut: l.service.cut.clone(),
+        zone: l.zone.clone(),
+        query: query.to_string(),
+        question: question.to_string(),
+        key: key.clone(),
+        at_ms: zero.elapsed().as_millis() as u64,
+    });
+}
+
+fn dressed(leaf: &Rc<RefCell<Leaf>>, code: u16) -> hyper::http::response::Builder {
+    let l = leaf.borrow();
+    let busy = (f64::from(l.live) / f64::from(bears(&l))).min(1.0);
+    let mut out = Response::builder()
+        .status(code)
+        .header(edge::BUSY, format!("{busy:.2}"))
+        .header(edge::LEAF_AGE, l.born.elapsed().as_millis().to_string());
+    if l.leaving {
+        out = out.header(edge::LEAF_STATE, "leaving");
+    }
+    out
+}
+
+fn finished(out: hyper::http::response::Builder, body: impl Into<Bytes>, cut: bool) -> Reply {
+    match out.body(Body { bytes: Some(body.into()), cut }) {
+        Ok(reply) => reply,
+        Err(_) => Response::new(Body { bytes: None, cut: true }),
+    }
+}
+
+fn plain(leaf: &Rc<RefCell<Leaf>>, code: u16) -> Reply {
+    finished(dressed(leaf, code), "", false)
+}
+
+fn unrun(leaf: &Rc<RefCell<Leaf>>, code: u16) -> Reply {
+    finished(dressed(leaf, code).header(edge::UNRUN, "1"), "", false)
+}
+
+fn answer(
+    leaf: &Rc<RefCell<Leaf>>,
+    mode: &Mode,
+    query: &str,
+    sum: &str,
+    (question, key, limit): (&str, Option<&str>, usize),
+) -> Reply {
+    let (name, service) = {
+        let l = leaf.borrow();
+        (l.name.clone(), l.service.clone())
+    };
+    let mut recs = oracle::records(&service.name, question, key, limit);
+    if *mode == Mode::Disorder {
+        recs.reverse();
+    }
+    let list: Vec<Value> = recs
+        .iter()
+        .map(|r| json!({ "id": r.id, "score": r.score, "data": { "service": r.service } }))
+        .collect();
+    let mut body = json!({ "records": list }).to_string();
+    let mut out = dressed(leaf, 200);
+    let mark = edge::postmark(&name, query, sum);
+    let old = leaf.borrow_mut().postmark.replace(mark.clone());
+    out = match mode {
+        Mode::NoPostmark => out,
+        Mode::TwoPostmarks => out.header(edge::POSTMARK, &mark).header(edge::POSTMARK, &mark),
+        Mode::StalePostmark => out.header(edge::POSTMARK, old.unwrap_or_default()),
+        _ => out.header(edge::POSTMARK, &mark),
+    };
+    out = out.header(edge::CUT, if *mode == Mode::WrongCut { "w00" } else { &service.cut });
+    match mode {
+        Mode::Garbage => body = "{\"records\":[{\"id\":7,".into(),
+        Mode::CutShort => body.truncate(body.len() / 2),
+        Mode::Overlong => body.push_str(&" ".repeat(grebe::consts::REPLY_LIMIT)),
+        _ => {}
+    }
+    finished(out, body, *mode == Mode::CutShort)
+}
--- /dev/null
+++ b/crates/programs/src/proof/callers.rs
@@ -0,0 +1,227 @@
+//! Stand-in callers: an open load of each kind of call, every answer checked.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use grebe::luck::{Luck, below, luck};
+use http_body_util::Full;
+use hyper::Request;
+use runtime::http::{Http, HttpTrouble, call_within};
+use serde_json::{Value, json};
+
+use super::check::{Asked, against_runs, success};
+use super::spec::Kind;
+
+/// What the callers saw.
+#[derive(Default)]
+pub struct Seen {
+    pub kinds: BTreeMap<String, KindSeen>,
+    pub bad: Vec<String>,
+    pub bad_count: u64,
+    /// Query, services claimed, question: for the check against the leafs' log.
+    pub claims: Vec<(String, Vec<String>, String)>,
+    pub asked: BTreeSet<String>,
+    pub next: u64,
+    pub revisions: BTreeMap<SocketAddr, u64>,
+}
+
+/// Counts for one kind of call.
+#[derive(Default, Clone)]
+pub struct KindSeen {
+    pub full: u64,
+    pub partial: u64,
+    pub bounced: BTreeMap<String, u64>,
+    pub unreachable: u64,
+    pub late: u64,
+    /// Waits for successes, in microseconds.
+    pub waits: Vec<u64>,
+}
+
+/// Nodes that callers are sent to, as the platform sees them ready.
+pub type Targets = Rc<RefCell<Vec<SocketAddr>>>;
+
+/// Checks readiness each second, as the platform does, until `until`.
+pub async fn watch_ready(http: Http, all: Vec<SocketAddr>, ready: Targets, until: Instant) {
+    while Instant::now() < until {
+        let mut list = Vec::new();
+        for addr in &all {
+            if is_ready(&http, *addr).await {
+                list.push(*addr);
+            }
+        }
+        *ready.borrow_mut() = list;
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+}
+
+/// Whether a node says that it is ready.
+pub async fn is_ready(http: &Http, addr: SocketAddr) -> bool {
+    let Ok(req) = Request::get(format!("http://{addr}/readyz")).body(Full::default()) else {
+        return false;
+    };
+    let got = call_within(http, req, 1024, Duration::from_millis(300)).await;
+    got.is_ok_and(|r| r.status() == 200)
+}
+
+/// Sends one kind's calls at their rate, times `factor`, until `until`.
+pub async fn load(
+    http: Http,
+    kind: Kind,
+    factor: f64,
+    targets: Targets,
+    seen: Rc<RefCell<Seen>>,
+    seed: u64,
+    until: Instant,
+) {
+    let mut luck = luck(seed);
+    let gap = Duration::from_secs_f64(1.0 / (kind.per_s * factor));
+    let start = Instant::now();
+    let mut n = 0u32;
+    let kind = Rc::new(kind);
+    let calls = tokio::task::LocalSet::new();
+    let sending = async {
+        loop {
+            let at = start + gap * n;
+            if at >= until {
+                return;
+            }
+            tokio::time::sleep_until(at.into()).await;
+            n += 1;
+            let addr = pick(&mut luck, &targets);
+            let num = below(&mut luck, 1 << 40);
+            match addr {
+                Some(addr) => {
+                    tokio::task::spawn_local(one(
+                        http.clone(),
+                        addr,
+                        kind.clone(),
+                        num,
+                        seen.clone(),
+                    ));
+                }
+                None => count(&seen, &kind).unreachable += 1,
+            }
+        }
+    };
+    calls.run_until(sending).await;
+    calls.await;
+}
+
+fn count<'a>(seen: &'a Rc<RefCell<Seen>>, kind: &Kind) -> std::cell::RefMut<'a, KindSeen> {
+    std::cell::RefMut::map(seen.borrow_mut(), |s| s.kinds.entry(kind.search.clone()).or_default())
+}
+
+fn pick(luck: &mut Luck, targets: &Targets) -> Option<SocketAddr> {
+    let list = targets.borrow();
+    let n = below(luck, list.len() as u64) as usize;
+    list.get(n).copied()
+}
+
+/// One call and its check.
+pub async fn one(http: Http, addr: SocketAddr, kind: Rc<Kind>, num: u64, seen: Rc<RefCell<Seen>>) {
+    let id = {
+        let mut s = seen.borrow_mut();
+        s.next += 1;
+        s.next
+    };
+    let asked = Asked {
+        question: format!("{}-{id}-{num:x}", kind.search),
+        key: kind.lookup.then(|| format!("key-{num:x}")),
+    };
+    seen.borrow_mut().asked.insert(asked.question.clone());
+    let body = json!({ "question": asked.question, "limit": kind.limit });
+    let mut body = body;
+    if let Some(key) = &asked.key {
+        body["key"] = json!(key);
+    }
+    let req = Request::post(format!("http://{addr}/v1/search/{}", kind.search))
+        .header("budget-ms", kind.budget_ms.to_string())
+        .body(Full::new(Bytes::from(body.to_string())));
+    let Ok(req) = req else { return };
+    let start = Instant::now();
+    let wait = Duration::from_millis(kind.budget_ms);
+    // A moment beyond the budget, to tell late answers from lost ones.
+    let got = call_within(&http, req, 16 << 20, wait + Duration::from_millis(500)).await;
+    let took = start.elapsed();
+    let mut s = seen.borrow_mut();
+    let c = s.kinds.entry(kind.search.clone()).or_default();
+    let resp = match got {
+        Ok(resp) => resp,
+        Err(HttpTrouble::Late) => {
+            c.late += 1;
+            return;
+        }
+        Err(_) => {
+            c.unreachable += 1;
+            return;
+        }
+    };
+    if took > wait {
+        c.late += 1;
+    }
+    if resp.status() != 200 {
+        let val: Value = serde_json::from_slice(resp.body()).unwrap_or(Value::Null);
+        let why = val["error"].as_str().unwrap_or("?").to_string();
+        *c.bounced.entry(why).or_default() += 1;
+        return;
+    }
+    let missing = resp.headers().get("missing-parts").and_then(|v| v.to_str().ok());
+    match missing {
+        Some("0") => c.full += 1,
+        _ => c.partial += 1,
+    }
+    c.waits.push(took.as_micros() as u64);
+    let (bad, services) = success(&kind, &asked, missing, resp.body());
+    let val: Value = serde_json::from_slice(resp.body()).unwrap_or(Value::Null);
+    let query = val["query"].as_str().unwrap_or_default().to_string();
+    let rev = val["revision"].as_u64().unwrap_or(0);
+    s.revisions.insert(addr, rev);
+    s.claims.push((query.clone(), services, asked.question));
+    for text in bad {
+        s.bad_count += 1;
+        if s.bad.len() < 20 {
+            s.bad.push(format!("{query}: {text}"));
+        }
+    }
+}
+
+/// A quantile of sorted numbers.
+pub fn quantile(list: &[u64], pct: usize) -> u64 {
+    if list.is_empty() {
+        return 0;
+    }
+    list[(list.len() * pct / 100).min(list.len() - 1)]
+}
+
+/// Everything seen as JSON, with the check against the leafs' log.
+pub fn report(seen: &Seen, runs: &[Value]) -> Value {
+    let mut kinds = serde_json::Map::new();
+    for (name, k) in &seen.kinds {
+        let mut waits = k.waits.clone();
+        waits.sort_unstable();
+        let bounced: u64 = k.bounced.values().sum();
+        let all = k.full + k.partial + bounced + k.unreachable;
+        kinds.insert(
+            name.clone(),
+            json!({
+                "calls": all, "full": k.full, "partial": k.partial, "bounced": k.bounced,
+                "unreachable": k.unreachable, "late": k.late,
+                "full_pct": if all == 0 { 0.0 } else { 100.0 * k.full as f64 / all as f64 },
+                "wait_ms": { "p50": quantile(&waits, 50) as f64 / 1000.0,
+                             "p90": quantile(&waits, 90) as f64 / 1000.0,
+                             "p99": quantile(&waits, 99) as f64 / 1000.0,
+                             "max": waits.last().copied().unwrap_or(0) as f64 / 1000.0 },
+            }),
+        );
+    }
+    let log = against_runs(&seen.claims, &seen.asked, runs);
+    let bad: Vec<&String> = seen.bad.iter().chain(log.iter().take(20)).collect();
+    json!({
+        "kinds": kinds, "violations": seen.bad_count + log.len() as u64, "first": bad,
+        "claims": seen.claims.len(), "runs": runs.len(),
+    })
+}
--- /dev/null
+++ b/crates/programs/src/proof/check.rs
@@ -0,0 +1,114 @@
+//! Checks answers against the oracle, knowing nothing of the querier's code.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::Value;
+
+use super::oracle;
+use super::spec::Kind;
+
+/// What a caller asked.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub question: String,
+    pub key: Option<String>,
+}
+
+/// What is wrong with a success; empty when all is well. Also gives the
+/// services that the answer claims, for the check against the leafs' log.
+pub fn success(
+    kind: &Kind,
+    asked: &Asked,
+    missing: Option<&str>,
+    body: &[u8],
+) -> (Vec<String>, Vec<String>) {
+    let mut bad = Vec::new();
+    let Ok(val) = serde_json::from_slice::<Value>(body) else {
+        return (vec!["the answer is not JSON".into()], Vec::new());
+    };
+    let cut = val["cut"].as_str().unwrap_or_default();
+    let names: Vec<&str> =
+        val["shards"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
+    let distinct: BTreeSet<&&str> = names.iter().collect();
+    if distinct.len() != names.len() {
+        bad.push(format!("rule 1: a shard is named twice: {names:?}"));
+    }
+    let table: BTreeMap<&str, &str> = kind
+        .shards
+        .iter()
+        .filter(|(c, _, _)| c == cut)
+        .map(|(_, shard, service)| (shard.as_str(), service.as_str()))
+        .collect();
+    if table.is_empty() {
+        bad.push(format!("rule 2: unknown cut {cut:?}"));
+    }
+    let mut services = Vec::new();
+    for name in &names {
+        match table.get(name) {
+            Some(service) => services.push(*service),
+            None => bad.push(format!("rule 1: shard {name:?} is not of cut {cut:?}")),
+        }
+    }
+    let planned = if kind.lookup { 1 } else { table.len() };
+    let need = (planned as f64 * kind.quorum).ceil() as usize;
+    if names.len() < need {
+        bad.push(format!("rule 3: {} shards of {planned}, {need} needed", names.len()));
+    }
+    let left = planned.saturating_sub(names.len());
+    if missing != Some(left.to_string().as_str()) {
+        bad.push(format!("Missing-Parts is {missing:?}, {left} are missing"));
+    }
+    let records = val["records"].as_array().cloned().unwrap_or_default();
+    let want = oracle::merged(&services, &asked.question, asked.key.as_deref(), kind.limit);
+    let got: Vec<(&str, f64, &str)> = records
+        .iter()
+        .map(|r| {
+            (
+                r["id"].as_str().unwrap_or_default(),
+                r["score"].as_f64().unwrap_or(f64::NAN),
+                r["data"]["service"].as_str().unwrap_or_default(),
+            )
+        })
+        .collect();
+    for (_, _, service) in &got {
+        if !services.contains(service) {
+            bad.push(format!("rule 2: a record of {service}, which is not named"));
+            break;
+        }
+    }
+    let same = got.len() == want.len()
+        && got.iter().zip(&want).all(|(g, w)| g.0 == w.id && g.1 == w.score && g.2 == w.service);
+    if !same {
+        bad.push("rule 4: the records are not the best of the shards named, in order".into());
+    }
+    (bad, services.iter().map(|s| s.to_string()).collect())
+}
+
+/// Checks what was claimed against what the leafs truly ran. `claims` are
+/// (query, services, question); `runs` are the rows of the leafs' log.
+pub fn against_runs(
+    claims: &[(String, Vec<String>, String)],
+    asked: &BTreeSet<String>,
+    runs: &[Value],
+) -> Vec<String> {
+    let mut bad = Vec::new();
+    let mut ran: BTreeMap<&str, Vec<(&str, &str)>> = BTreeMap::new();
+    for row in runs {
+        let cell = |i: usize| row[i].as_str().unwrap_or_default();
+        // A dispatch's id is the query's with one more dot.
+        let query = cell(4).rsplit_once('.').map_or(cell(4), |q| q.0);
+        ran.entry(query).or_default().push((cell(1), cell(5)));
+        if !asked.contains(cell(5)) {
+            bad.push(format!("rule 5: {} ran a question nobody asked: {:?}", cell(0), cell(5)));
+        }
+    }
+    for (query, services, question) in claims {
+        let list = ran.get(query.as_str()).map_or(&[][..], Vec::as_slice);
+        for service in services {
+            if !list.iter().any(|(s, q)| s == service && q == question) {
+                bad.push(format!("rule 1: {query} claims {service}, which never ran it"));
+            }
+        }
+    }
+    bad
+}
--- /dev/null
+++ b/crates/programs/src/proof/mod.rs
@@ -0,0 +1,10 @@
+//! What the stand-ins, the fleet runner and the tests share: the leafs' own
+//! records as an oracle, and a fleet of real processes.
+
+pub mod backs;
+pub mod callers;
+pub mod check;
+pub mod control;
+pub mod fleet;
+pub mod oracle;
+pub mod spec;
--- /dev/null
+++ b/crates/programs/src/querier/control.rs
@@ -0,0 +1,249 @@
+//! The control thread: news, tenure, cohort and duties.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebe::cohort::step::{WAKE, step};
+use grebe::cohort::watch::{Command, Event, Watch, watch};
+use grebe::consts;
+use grebe::edge::list;
+use grebe::query::desk;
+use grebe::view::leafs::LeafInfo;
+use grebe::wire::msg::{Member, Who};
+use http_body_util::Full;
+use hyper::Request;
+use runtime::clock::{Clock, duration, now};
+use runtime::http::{Http, call_within};
+use runtime::wire::{Out, WireEvent, accept, dial, send};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, watch as signal};
+use tracing::{debug, warn};
+
+use crate::params::Params;
+use crate::traffic::Work;
+
+/// What reaches the control thread.
+pub enum Input {
+    Leaving { leaf: String, service: String },
+    List(Result<Vec<LeafInfo>, String>),
+    Counts(oneshot::Sender<crate::metrics::Control>),
+    /// A traffic thread has nothing in hand any more.
+    Drained,
+}
+
+/// Which wire a message came on.
+#[derive(Clone)]
+enum Tag {
+    Seat(u8),
+    Member(String),
+}
+
+struct Io {
+    me: String,
+    seats: Vec<Out>,
+    members: HashMap<String, (SocketAddr, Out)>,
+    desks: Vec<UnboundedSender<Work>>,
+    ready: signal::Sender<bool>,
+    wires: UnboundedSender<WireEvent<Tag>>,
+    input: UnboundedSender<Input>,
+    http: Http,
+    list: SocketAddr,
+    polling: bool,
+    shut: bool,
+}
+
+/// Serves until asked to stop and drained.
+pub async fn serve(
+    p: Params,
+    clock: Clock,
+    inner: std::net::TcpListener,
+    desks: Vec<UnboundedSender<Work>>,
+    ready: signal::Sender<bool>,
+    tx: UnboundedSender<Input>,
+    mut rx: UnboundedReceiver<Input>,
+) -> Result<(), std::io::Error> {
+    inner.set_nonblocking(true)?;
+    let addr = inner.local_addr()?;
+    let inner = tokio::net::TcpListener::from_std(inner)?;
+    let (wire_tx, mut wire_rx) = tokio::sync::mpsc::unbounded_channel();
+    tokio::task::spawn_local(accept(inner, wire_tx.clone()));
+    let me = Member {
+        name: p.name.clone(),
+        addr: addr.to_string(),
+        zone: p.zone.clone(),
+        threads: p.threads,
+        joined: 0,
+    };
+    let mut w = watch(me, now(&clock));
+    let who = || Who::Member(p.name.clone());
+    let seats = p
+        .seeds
+        .iter()
+        .enumerate()
+        .map(|(i, addr)| dial(*addr, who(), Tag::Seat(i as u8), wire_tx.clone()))
+        .collect();
+    let mut io = Io {
+        me: p.name.clone(),
+        seats,
+        members: HashMap::new(),
+        desks,
+        ready,
+        wires: wire_tx,
+        input: tx,
+        http: runtime::http::client(2),
+        list: p.list,
+        polling: false,
+        shut: false,
+    };
+    let mut wake = tokio::time::interval(duration(WAKE));
+    wake.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let stop = runtime::stop::asked();
+    tokio::pin!(stop);
+    let mut stopping = false;
+    let mut left = io.desks.len();
+    let mut asked = false;
+    let mut until = tokio::time::Instant::now();
+    loop {
+        let event = tokio::select! {
+            biased;
+            _ = &mut stop, if !stopping => {
+                stopping = true;
+                until = tokio::time::Instant::now() + duration(consts::DRAIN_MAX);
+                Some(Event::Stop)
+            }
+            _ = wake.tick() => Some(Event::Wake),
+            Some(input) = rx.recv() => match input {
+                Input::Leaving { leaf, service } => Some(Event::Leaving { leaf, service }),
+                Input::List(got) => {
+                    io.polling = false;
+                    Some(Event::List(got))
+                }
+                Input::Counts(tell) => {
+                    let _ = tell.send(crate::metrics::control(&w));
+                    None
+                }
+                Input::Drained => {
+                    left -= 1;
+                    None
+                }
+            },
+            Some(event) = wire_rx.recv() => heard(&mut io, event),
+        };
+        if let Some(event) = event {
+            let todo = step(&mut w, now(&clock), event);
+            carry_out(&mut io, &w, todo);
+        }
+        if io.shut && !asked {
+            asked = true;
+            for desk in &io.desks {
+                let _ = desk.send(Work::Drain);
+            }
+        }
+        if stopping && (left == 0 || tokio::time::Instant::now() >= until) {
+            break;
+        }
+    }
+    // Gives the tenure back, so that our share is free at once.
+    let todo = step(&mut w, now(&clock), Event::Drained);
+    carry_out(&mut io, &w, todo);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    Ok(())
+}
+
+fn heard(io: &mut Io, event: WireEvent<Tag>) -> Option<Event> {
+    match event {
+        WireEvent::Dialled { tag: Tag::Seat(seat), msg } => Some(Event::FromSeat { seat, msg }),
+        WireEvent::Dialled { tag: Tag::Member(name), msg }
+        | WireEvent::Came { who: Who::Member(name), msg, .. } => {
+            Some(Event::FromMember { name, msg })
+        }
+        WireEvent::Opened { wire, who, .. } => {
+            debug!(wire, ?who, "wire opened");
+            None
+        }
+        WireEvent::Came { .. } | WireEvent::Closed { .. } => None,
+        WireEvent::Trouble { text } => {
+            warn!(me = io.me, "{text}");
+            None
+        }
+    }
+}
+
+fn carry_out(io: &mut Io, w: &Watch, todo: Vec<Command>) {
+    for command in todo {
+        match command {
+            Command::ToSeat { seat, msg } => {
+                if let Some(out) = io.seats.get(usize::from(seat)) {
+                    send(out, &msg);
+                }
+            }
+            Command::ToMember { name, addr, msg } => to_member(io, name, &addr, &msg),
+            Command::View(view) => {
+                io.members.retain(|n, _| w.cohort.members.iter().any(|m| m.name == *n));
+                for desk in &io.desks {
+                    let _ = desk.send(Work::Event(desk::Event::View(view.clone())));
+                }
+            }
+            Command::Shares(list) => {
+                for (i, desk) in io.desks.iter().enumerate() {
+                    let share = grebe::query::share::share(&list, &io.me, i as u32);
+                    let _ = desk.send(Work::Event(desk::Event::Share(share)));
+                }
+            }
+            Command::Door(door) => {
+                io.shut |= door == desk::Door::Stopping;
+                for desk in &io.desks {
+                    let _ = desk.send(Work::Event(desk::Event::Door(door)));
+                }
+            }
+            Command::Ready(ready) => {
+                let _ = io.ready.send(ready);
+            }
+            Command::PollList => poll(io),
+            Command::Alarm(text) => warn!(me = io.me, "{text}"),
+        }
+    }
+}
+
+fn to_member(io: &mut Io, name: String, addr: &str, msg: &grebe::wire::msg::Msg) {
+    let Ok(addr) = addr.parse::<SocketAddr>() else { return };
+    let known = io.members.get(&name).is_some_and(|(a, _)| *a == addr);
+    if !known {
+        let who = Who::Member(io.me.clone());
+        let out = dial(addr, who, Tag::Member(name.clone()), io.wires.clone());
+        io.members.insert(name.clone(), (addr, out));
+    }
+    if let Some((_, out)) = io.members.get(&name) {
+        send(out, msg);
+    }
+}
+
+/// Polls the platform's list, one poll at a time.
+fn poll(io: &mut Io) {
+    if io.polling {
+        return;
+    }
+    io.polling = true;
+    let (http, addr, input) = (io.http.clone(), io.list, io.input.clone());
+    tokio::task::spawn_local(async move {
+        let _ = input.send(Input::List(fetch(&http, addr).await));
+    });
+}
+
+async fn fetch(http: &Http, addr: SocketAddr) -> Result<Vec<LeafInfo>, String> {
+    let req = Request::get(format!("http://{addr}{}", list::PATH))
+        .body(Full::default())
+        .map_err(|e| e.to_string())?;
+    let wait = duration(consts::LIST_PATIENCE);
+    let resp =
+        call_within(http, req, consts::LIST_LIMIT, wait).await.map_err(|e| e.to_string())?;
+    if resp.status() != 200 {
+        return Err(format!("status {}", resp.status()));
+    }
+    let (leafs, all) = list::read(resp.body()).map_err(|f| f.to_string())?;
+    for f in all {
+        warn!("the platform's list: {f}");
+    }
+    Ok(leafs)
+}
--- /dev/null
+++ b/crates/programs/src/querier/door.rs
@@ -0,0 +1,157 @@
+//! The door for callers and for the platform's checks.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use grebe::consts;
+use grebe::edge::caller::{self, BUDGET, MISSING_PARTS, RETRY_AFTER};
+use grebe::query::ask::{Ask, Bounce, Outcome, Reason};
+use grebe::query::desk::Event;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{oneshot, watch};
+
+use crate::control::Input;
+use crate::traffic::Work;
+
+/// Calls are numbered over all threads of the process.
+static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
+
+/// Everyone a door may have to ask.
+#[derive(Clone)]
+pub struct All {
+    pub desks: Vec<UnboundedSender<Work>>,
+    pub control: UnboundedSender<Input>,
+    pub ready: watch::Receiver<bool>,
+}
+
+#[derive(Clone)]
+struct Door {
+    all: All,
+    here: UnboundedSender<Work>,
+}
+
+/// The paths of one traffic thread's door.
+pub fn router(all: All, here: UnboundedSender<Work>) -> Router {
+    Router::new()
+        .route("/v1/search/{mapping}", get(search_get).post(search_post))
+        .route("/readyz", get(ready))
+        .route("/livez", get(async || "ok\n"))
+        .route("/metrics", get(metrics))
+        .fallback(async || {
+            let text = "no such path; searches are at /v1/search/{mapping}";
+            written(&Outcome::Bounce(Bounce::new(Reason::NoMapping, text)))
+        })
+        // One byte over the limit still comes through, and gets our own 413.
+        .layer(DefaultBodyLimit::max(consts::QUESTION_LIMIT + 1))
+        .with_state(Door { all, here })
+}
+
+/// Tells the desk when the caller goes away before its outcome.
+struct Guard {
+    call: u64,
+    here: UnboundedSender<Work>,
+    done: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.done {
+            let _ = self.here.send(Work::Event(Event::Gone { call: self.call }));
+        }
+    }
+}
+
+fn budget(map: &HeaderMap) -> Option<&str> {
+    map.get(BUDGET).map(|v| v.to_str().unwrap_or("unreadable"))
+}
+
+async fn search_get(
+    State(door): State<Door>,
+    Path(mapping): Path<String>,
+    Query(params): Query<Vec<(String, String)>>,
+    heads: HeaderMap,
+) -> Response {
+    search(door, caller::read_get(&mapping, budget(&heads), &params)).await
+}
+
+async fn search_post(
+    State(door): State<Door>,
+    Path(mapping): Path<String>,
+    heads: HeaderMap,
+    body: Result<Bytes, axum::extract::rejection::BytesRejection>,
+) -> Response {
+    let ask = match body {
+        Ok(body) => caller::read_post(&mapping, budget(&heads), &body),
+        Err(e) if e.status() == StatusCode::PAYLOAD_TOO_LARGE => {
+            Err(Bounce::new(Reason::TooLarge, "the question is larger than 64 KiB"))
+        }
+        Err(e) => Err(Bounce::new(Reason::BadCall, e.to_string())),
+    };
+    search(door, ask).await
+}
+
+async fn search(door: Door, ask: Result<Ask, Bounce>) -> Response {
+    let ask = match ask {
+        Ok(ask) => ask,
+        Err(b) => return written(&Outcome::Bounce(b)),
+    };
+    let call = NEXT_CALL.fetch_add(1, Ordering::Relaxed);
+    let (tell, told) = oneshot::channel();
+    let mut guard = Guard { call, here: door.here.clone(), done: false };
+    let outcome = if door.here.send(Work::Call { call, ask, tell }).is_ok() {
+        told.await.ok()
+    } else {
+        None
+    };
+    guard.done = true;
+    let outcome = outcome.unwrap_or_else(|| {
+        Outcome::Bounce(Bounce::new(Reason::Stopping, "this node is going down"))
+    });
+    written(&outcome)
+}
+
+fn written(outcome: &Outcome) -> Response {
+    let out = caller::write(outcome);
+    let code = StatusCode::from_u16(out.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut resp =
+        (code, [(header::CONTENT_TYPE, "application/json")], out.body).into_response();
+    if let Some(n) = out.missing {
+        resp.headers_mut().insert(MISSING_PARTS, (n as u64).into());
+    }
+    if let Some(s) = out.retry_after {
+        resp.headers_mut().insert(RETRY_AFTER, s.into());
+    }
+    resp
+}
+
+async fn ready(State(door): State<Door>) -> Response {
+    if *door.all.ready.borrow() {
+        return "ready\n".into_response();
+    }
+    (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+}
+
+async fn metrics(State(door): State<Door>) -> Response {
+    let (tell, told) = oneshot::channel();
+    let _ = door.all.control.send(Input::Counts(tell));
+    let mut asked = Vec::new();
+    for desk in &door.all.desks {
+        let (tell, told) = oneshot::channel();
+        if desk.send(Work::Counts(tell)).is_ok() {
+            asked.push(told);
+        }
+    }
+    let mut counts = Vec::new();
+    for told in asked {
+        if let Ok(c) = told.await {
+            counts.push(c);
+        }
+    }
+    let ready = *door.all.ready.borrow();
+    crate::metrics::text(&counts, told.await.ok(), ready).into_response()
+}
--- /dev/null
+++ b/crates/programs/src/querier/leafs.rs
@@ -0,0 +1,50 @@
+//! Sends a dispatch to a leaf and reads what comes back, unjudged.
+
+use bytes::Bytes;
+use grebe::consts::REPLY_LIMIT;
+use grebe::edge::leaf::{self, Heads, Raw, Trouble};
+use grebe::query::desk::Sending;
+use grebe::time::MILLI;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request};
+use runtime::clock::duration;
+use runtime::http::{Http, HttpTrouble, call_within};
+
+/// Sends one dispatch.
+pub async fn send(http: &Http, s: Sending) -> Result<Raw, Trouble> {
+    let req = Request::post(format!("http://{}{}", s.addr, leaf::PATH))
+        .header(leaf::EXPECT_LEAF, &s.leaf)
+        .header(leaf::EXPECT_SERVICE, &s.service)
+        .header(leaf::QUERY_ID, &s.id)
+        .header(leaf::QUESTION_DIGEST, &s.digest)
+        .header(leaf::BUDGET, (s.budget / MILLI).max(1).to_string())
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::copy_from_slice(&s.body)))
+        .map_err(|_| Trouble::Unreachable)?;
+    match call_within(http, req, REPLY_LIMIT, duration(s.budget)).await {
+        Ok(resp) => {
+            let heads = heads(resp.headers());
+            Ok(Raw { status: resp.status().as_u16(), heads, body: resp.body().to_vec() })
+        }
+        Err(HttpTrouble::Unreachable(_)) => Err(Trouble::Unreachable),
+        Err(HttpTrouble::Cut(_)) => Err(Trouble::Cut),
+        Err(HttpTrouble::TooLarge) => Err(Trouble::Overlong),
+        Err(HttpTrouble::Late) => Err(Trouble::OutOfTime),
+    }
+}
+
+fn heads(map: &HeaderMap) -> Heads {
+    let one = |name: &str| map.get(name).and_then(|v| v.to_str().ok()).map(str::to_string);
+    Heads {
+        postmarks: map
+            .get_all(leaf::POSTMARK)
+            .iter()
+            .map(|v| v.to_str().unwrap_or_default().to_string())
+            .collect(),
+        busy: one(leaf::BUSY),
+        age: one(leaf::LEAF_AGE),
+        state: one(leaf::LEAF_STATE),
+        cut: one(leaf::CUT),
+        unrun: map.contains_key(leaf::UNRUN),
+    }
+}
--- /dev/null
+++ b/crates/programs/src/querier/main.rs
@@ -0,0 +1,70 @@
+//! The data plane: takes callers' questions and answers them from the leafs.
+
+mod control;
+mod door;
+mod leafs;
+mod metrics;
+mod params;
+mod traffic;
+
+use tracing::error;
+
+fn main() {
+    runtime::ring::install();
+    let p = params::read();
+    if let Err(e) = run(p) {
+        error!("{e}");
+        eprintln!("querier: {e}");
+        std::process::exit(1);
+    }
+}
+
+fn run(p: params::Params) -> Result<(), std::io::Error> {
+    // One listener for each traffic thread, all on one address.
+    let first = runtime::http::listen(p.listen)?;
+    let addr = first.local_addr()?;
+    let mut listeners = vec![first];
+    for _ in 1..p.threads {
+        listeners.push(runtime::http::listen(addr)?);
+    }
+    let inner = std::net::TcpListener::bind(p.inner)?;
+    println!("querier {} inner {} door {addr}", p.name, inner.local_addr()?);
+    let clock = runtime::clock::clock();
+    let life = runtime::clock::nonce();
+    let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
+    let (ready_tx, ready_rx) = tokio::sync::watch::channel(false);
+    let (stop_tx, stop_rx) = tokio::sync::watch::channel(false);
+    let mut desks = Vec::new();
+    let mut ends = Vec::new();
+    for _ in 0..p.threads {
+        let (work_tx, work_rx) = tokio::sync::mpsc::unbounded_channel();
+        desks.push(work_tx);
+        ends.push(work_rx);
+    }
+    let all = door::All { desks: desks.clone(), control: tx.clone(), ready: ready_rx };
+    let mut threads = Vec::new();
+    for (i, (listener, rx)) in listeners.into_iter().zip(ends).enumerate() {
+        let setup = traffic::Setup {
+            name: format!("{}-{i}-{:08x}", p.name, life as u32),
+            zone: p.zone.clone(),
+            seed: life ^ i as u64,
+            clock,
+            listener,
+            here: desks[i].clone(),
+            all: all.clone(),
+            control: tx.clone(),
+            stop: stop_rx.clone(),
+        };
+        threads.push(
+            std::thread::Builder::new()
+                .name(format!("traffic-{i}"))
+                .spawn(move || traffic::serve(setup, rx))?,
+        );
+    }
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = tokio::task::LocalSet::new();
+    let end = local.block_on(&rt, control::serve(p, clock, inner, desks, ready_tx, tx, rx));
+    let _ = stop_tx.send(true);
+    let joined = threads.into_iter().all(|t| t.join().is_ok());
+    end.and(if joined { Ok(()) } else { Err(std::io::Error::other("a thread failed")) })
+}
--- /dev/null
+++ b/crates/programs/src/querier/metrics.rs
@@ -0,0 +1,109 @@
+//! Metrics as Prometheus text.
+
+use std::fmt::Write;
+
+use grebe::cohort::watch::{Counts as WatchCounts, Watch};
+use grebe::query::desk::{Counts, TOOK_MS};
+use indexmap::IndexMap;
+
+/// What the control thread tells.
+pub struct Control {
+    counts: WatchCounts,
+    revision: u64,
+    members: u64,
+    shares: u64,
+}
+
+/// The control thread's part.
+pub fn control(w: &Watch) -> Control {
+    Control {
+        counts: w.counts.clone(),
+        revision: w.view.as_ref().map_or(0, |v| v.revision),
+        members: w.cohort.members.len() as u64,
+        shares: w.shared.iter().map(|(_, n)| u64::from(*n)).sum(),
+    }
+}
+
+fn sum(all: &[Counts]) -> Counts {
+    let mut out = Counts::default();
+    for c in all {
+        out.full += c.full;
+        out.partial += c.partial;
+        for (k, v) in &c.bounced {
+            *out.bounced.entry(*k).or_default() += v;
+        }
+        for (k, v) in &c.trouble {
+            *out.trouble.entry(*k).or_default() += v;
+        }
+        out.firsts += c.firsts;
+        out.seconds += c.seconds;
+        out.denied += c.denied;
+        out.dropped += c.dropped;
+        for (i, n) in c.took.iter().enumerate() {
+            out.took[i] += n;
+        }
+        out.queries += c.queries;
+        out.out += c.out;
+        out.wanting += c.wanting;
+    }
+    out
+}
+
+fn one(out: &mut String, kind: &str, name: &str, help: &str, val: u64) {
+    let _ = writeln!(out, "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {val}");
+}
+
+fn by<K: std::fmt::Display>(
+    out: &mut String,
+    name: &str,
+    help: &str,
+    label: &str,
+    map: &IndexMap<K, u64>,
+) {
+    let _ = writeln!(out, "# HELP {name} {help}\n# TYPE {name} counter");
+    for (key, val) in map {
+        let _ = writeln!(out, "{name}{{{label}=\"{key}\"}} {val}");
+    }
+}
+
+/// The whole text.
+pub fn text(all: &[Counts], control: Option<Control>, ready: bool) -> String {
+    let c = sum(all);
+    let mut out = String::new();
+    let o = &mut out;
+    let _ = writeln!(o, "# HELP grebe_outcomes_total Successes, with and without all shards.");
+    let _ = writeln!(o, "# TYPE grebe_outcomes_total counter");
+    let _ = writeln!(o, "grebe_outcomes_total{{kind=\"full\"}} {}", c.full);
+    let _ = writeln!(o, "grebe_outcomes_total{{kind=\"partial\"}} {}", c.partial);
+    by(o, "grebe_bounces_total", "Calls bounced, by reason.", "reason", &c.bounced);
+    by(o, "grebe_dispatch_trouble_total", "Dispatches that failed, by kind.", "kind", &c.trouble);
+    one(o, "counter", "grebe_first_dispatches_total", "First dispatches.", c.firsts);
+    one(o, "counter", "grebe_second_tries_total", "Second and later tries.", c.seconds);
+    one(o, "counter", "grebe_second_tries_denied_total", "Second tries denied.", c.denied);
+    one(o, "counter", "grebe_dispatches_dropped_total", "Dispatches given up.", c.dropped);
+    one(o, "gauge", "grebe_queries", "Queries in hand.", c.queries);
+    one(o, "gauge", "grebe_dispatches", "Dispatches out.", c.out);
+    one(o, "gauge", "grebe_wanting", "Shards of queries that wait for room.", c.wanting);
+    let _ = writeln!(o, "# HELP grebe_outcome_ms Time to an outcome.");
+    let _ = writeln!(o, "# TYPE grebe_outcome_ms histogram");
+    let mut n = 0;
+    for (i, le) in TOOK_MS.iter().enumerate() {
+        n += c.took[i];
+        let _ = writeln!(o, "grebe_outcome_ms_bucket{{le=\"{le}\"}} {n}");
+    }
+    n += c.took[TOOK_MS.len()];
+    let _ = writeln!(o, "grebe_outcome_ms_bucket{{le=\"+Inf\"}} {n}\ngrebe_outcome_ms_count {n}");
+    one(o, "gauge", "grebe_ready", "Whether this node is ready.", u64::from(ready));
+    if let Some(k) = control {
+        one(o, "gauge", "grebe_revision", "Configuration revision obeyed.", k.revision);
+        one(o, "gauge", "grebe_members", "Members of the cohort.", k.members);
+        one(o, "gauge", "grebe_shares", "Threads that divide the fleet's limits.", k.shares);
+        let c = &k.counts;
+        one(o, "counter", "grebe_news_taken_total", "News taken.", c.news);
+        one(o, "counter", "grebe_news_from_members_total", "Of these, from members.", c.news_from_members);
+        one(o, "counter", "grebe_list_polls_total", "Polls of the platform's list.", c.list_polls);
+        one(o, "counter", "grebe_list_troubles_total", "Polls that failed.", c.list_troubles);
+        one(o, "counter", "grebe_cut_off_total", "Times this node was cut off alone.", c.lapses);
+    }
+    out
+}
--- /dev/null
+++ b/crates/programs/src/standin/cli.rs
@@ -0,0 +1,62 @@
+//! The stand-ins' command line.
+
+use std::net::SocketAddr;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+/// Which stand-in.
+pub enum Verb {
+    Backs { spec: String, listen: SocketAddr, seed: u64 },
+    Callers {
+        spec: String,
+        targets: Vec<SocketAddr>,
+        list: Option<SocketAddr>,
+        seconds: u64,
+        factor: f64,
+        seed: u64,
+    },
+}
+
+fn options() -> OptionParser<Verb> {
+    let spec = || long("spec").help("JSON file of the deployment").argument::<String>("FILE");
+    let seed = || long("seed").argument::<u64>("N").fallback(1);
+    let listen = long("listen")
+        .help("address of the list")
+        .argument::<SocketAddr>("IP:PORT")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let (s, e) = (spec(), seed());
+    let backs = construct!(s, listen, e)
+        .map(|(spec, listen, seed)| Verb::Backs { spec, listen, seed })
+        .to_options()
+        .descr("leafs and the platform's list")
+        .command("backs");
+    let targets = long("target")
+        .help("a querier's address; may stand several times")
+        .argument::<SocketAddr>("IP:PORT")
+        .some("at least one --target");
+    let list = long("list")
+        .help("address of the stand-in list, to check answers against the leafs' log")
+        .argument::<SocketAddr>("IP:PORT")
+        .optional();
+    let seconds = long("seconds").argument::<u64>("N").fallback(10);
+    let factor = long("factor").help("times the spec's rates").argument::<f64>("X").fallback(1.0);
+    let (s, e) = (spec(), seed());
+    let callers = construct!(s, targets, list, seconds, factor, e)
+        .map(|(spec, targets, list, seconds, factor, seed)| Verb::Callers {
+            spec,
+            targets,
+            list,
+            seconds,
+            factor,
+            seed,
+        })
+        .to_options()
+        .descr("callers that check every answer")
+        .command("callers");
+    construct!([backs, callers]).to_options().descr("grebepath's stand-ins for the outside")
+}
+
+/// Reads the command line.
+pub fn read() -> Verb {
+    options().run()
+}
--- /dev/null
+++ b/crates/programs/src/standin/main.rs
@@ -0,0 +1,100 @@
+//! Stand-ins for the outside: back ends with the platform's list, and callers.
+
+mod cli;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http_body_util::Full;
+use hyper::Request;
+use proof::callers::{self, Seen, load, watch_ready};
+use proof::{backs, control, spec};
+use serde_json::Value;
+
+fn main() {
+    let verb = cli::read();
+    let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(rt) => rt,
+        Err(e) => return fail(&e.to_string()),
+    };
+    let local = tokio::task::LocalSet::new();
+    let end = match verb {
+        cli::Verb::Backs { spec, listen, seed } => {
+            local.block_on(&rt, serve_backs(spec, listen, seed))
+        }
+        cli::Verb::Callers { spec, targets, list, seconds, factor, seed } => {
+            local.block_on(&rt, run_callers(spec, targets, list, seconds, factor, seed))
+        }
+    };
+    if let Err(e) = end {
+        fail(&e);
+    }
+}
+
+fn fail(text: &str) {
+    eprintln!("standin: {text}");
+    std::process::exit(1);
+}
+
+async fn serve_backs(file: String, listen: SocketAddr, seed: u64) -> Result<(), String> {
+    let spec = spec::read(&file)?;
+    let backs = backs::start(&spec, seed).await.map_err(|e| e.to_string())?;
+    let door = tokio::net::TcpListener::bind(listen).await.map_err(|e| e.to_string())?;
+    let addr = door.local_addr().map_err(|e| e.to_string())?;
+    println!("standin backs list {addr} leafs {}", backs.borrow().leafs.len());
+    tokio::select! {
+        _ = control::serve(door, backs) => {}
+        _ = runtime::stop::asked() => {}
+    }
+    Ok(())
+}
+
+async fn run_callers(
+    file: String,
+    targets: Vec<SocketAddr>,
+    list: Option<SocketAddr>,
+    seconds: u64,
+    factor: f64,
+    seed: u64,
+) -> Result<(), String> {
+    let spec = spec::read(&file)?;
+    let http = runtime::http::client(64);
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let ready = Rc::new(RefCell::new(targets.clone()));
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let watching = watch_ready(runtime::http::client(2), targets, ready.clone(), until);
+    tokio::task::spawn_local(watching);
+    let mut loads = Vec::new();
+    for (i, kind) in spec.kinds.iter().enumerate() {
+        let seed = seed.wrapping_add(i as u64);
+        let (kind, ready, seen) = (kind.clone(), ready.clone(), seen.clone());
+        let task = load(http.clone(), kind, factor, ready, seen, seed, until);
+        loads.push(tokio::task::spawn_local(task));
+    }
+    for task in loads {
+        task.await.map_err(|e| e.to_string())?;
+    }
+    let runs = match list {
+        Some(addr) => fetch_runs(&http, addr).await?,
+        None => Vec::new(),
+    };
+    let report = callers::report(&seen.borrow(), &runs);
+    println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+    if report["violations"].as_u64() != Some(0) {
+        return Err("answers broke their promises; see `first`".into());
+    }
+    Ok(())
+}
+
+async fn fetch_runs(http: &runtime::http::Http, addr: SocketAddr) -> Result<Vec<Value>, String> {
+    let req = Request::get(format!("http://{addr}/runs"))
+        .body(Full::default())
+        .map_err(|e| e.to_string())?;
+    let wait = Duration::from_secs(30);
+    let resp = runtime::http::call_within(http, req, 1 << 30, wait)
+        .await
+        .map_err(|e| e.to_string())?;
+    serde_json::from_slice(resp.body()).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/crates/runtime/src/http.rs
@@ -0,0 +1,104 @@
+//! HTTP by library: doors that listen, and a client for small requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::Router;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a request brought no answer.
+    #[derive(Debug)]
+    pub enum HttpTrouble {
+        Unreachable(why: String) { display("unreachable: {why}") }
+        Cut(why: String) { display("cut short: {why}") }
+        TooLarge { display("the answer is too large") }
+        Late { display("no answer in time") }
+    }
+}
+
+/// A client that keeps wires open.
+pub type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// A client that keeps up to `idle` unused wires to each address.
+pub fn client(idle: usize) -> Http {
+    let mut conn = HttpConnector::new();
+    conn.set_nodelay(true);
+    conn.set_connect_timeout(Some(Duration::from_secs(5)));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(idle)
+        .pool_idle_timeout(Duration::from_secs(30))
+        .build(conn)
+}
+
+/// Sends a request and reads the whole answer, up to `limit` bytes.
+pub async fn call(
+    http: &Http,
+    req: Request<Full<Bytes>>,
+    limit: usize,
+) -> Result<Response<Bytes>, HttpTrouble> {
+    let resp = http.request(req).await.map_err(|e| {
+        let text = source_text(&e);
+        if e.is_connect() { HttpTrouble::Unreachable(text) } else { HttpTrouble::Cut(text) }
+    })?;
+    let (head, body) = resp.into_parts();
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(HttpTrouble::TooLarge),
+        Err(e) => Err(HttpTrouble::Cut(e.to_string())),
+    }
+}
+
+/// `call`, given up after `wait`.
+pub async fn call_within(
+    http: &Http,
+    req: Request<Full<Bytes>>,
+    limit: usize,
+    wait: Duration,
+) -> Result<Response<Bytes>, HttpTrouble> {
+    match tokio::time::timeout(wait, call(http, req, limit)).await {
+        Ok(got) => got,
+        Err(_) => Err(HttpTrouble::Late),
+    }
+}
+
+fn source_text(e: &dyn std::error::Error) -> String {
+    let mut text = e.to_string();
+    let mut at = e.source();
+    while let Some(e) = at {
+        text = format!("{text}: {e}");
+        at = e.source();
+    }
+    text
+}
+
+/// Opens a port that several threads may listen on.
+pub fn listen(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let sock = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    sock.set_reuse_address(true)?;
+    sock.set_reuse_port(true)?;
+    sock.set_nonblocking(true)?;
+    sock.bind(&addr.into())?;
+    sock.listen(1024)?;
+    Ok(sock.into())
+}
+
+/// Serves a router until `stop` resolves; open requests are finished.
+pub async fn serve(
+    listener: std::net::TcpListener,
+    router: Router,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> std::io::Result<()> {
+    use axum::serve::ListenerExt;
+    let listener = tokio::net::TcpListener::from_std(listener)?.tap_io(|io| {
+        let _ = io.set_nodelay(true);
+    });
+    axum::serve(listener, router).with_graceful_shutdown(stop).await
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,10 @@
+//! What the programs share of the outside world: params, threads, wires,
+//! disks, doors for HTTP, the log ring. The deciding is done in `grebe`.
+
+pub mod clock;
+pub mod disk;
+pub mod http;
+pub mod params;
+pub mod ring;
+pub mod stop;
+pub mod wire;
--- /dev/null
+++ b/crates/runtime/src/params.rs
@@ -0,0 +1,174 @@
+//! Params from a file (a JSON object) and from flags, flags first. All that
+//! is wrong is found at once, before any port is opened.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use grebe::lang::finding::{Finding, find};
+use serde_json::Value;
+
+/// Exit code of a process whose params are wrong.
+pub const EXIT_PARAMS: i32 = 2;
+
+/// Params being read: where each came from, and the findings.
+pub struct Reader {
+    flags: BTreeMap<String, String>,
+    file: serde_json::Map<String, Value>,
+    asked: Vec<&'static str>,
+    pub all: Vec<Finding>,
+}
+
+/// A reader over `--name value` pairs and an optional file.
+pub fn reader(flags: Vec<(&str, Option<String>)>, file: Option<&str>) -> Reader {
+    let mut all = Vec::new();
+    let mut map = serde_json::Map::new();
+    if let Some(path) = file {
+        match std::fs::read(path) {
+            Err(e) => find(&mut all, format!("--params {path}"), format!("can't be read: {e}")),
+            Ok(raw) => match serde_json::from_slice(&raw) {
+                Ok(Value::Object(m)) => map = m,
+                Ok(_) => find(&mut all, path, "expected a JSON object"),
+                Err(e) => {
+                    let place = format!("{path}:{}:{}", e.line(), e.column());
+                    find(&mut all, place, format!("not JSON: {e}"));
+                }
+            },
+        }
+    }
+    let flags = flags.into_iter().filter_map(|(k, v)| Some((k.to_string(), v?))).collect();
+    Reader { flags, file: map, asked: Vec::new(), all }
+}
+
+fn raw(r: &mut Reader, name: &'static str) -> Option<(String, String)> {
+    r.asked.push(name);
+    if let Some(val) = r.flags.get(name) {
+        return Some((format!("--{name}"), val.clone()));
+    }
+    let place = format!("params.{name}");
+    match r.file.get(name)? {
+        Value::String(s) => Some((place, s.clone())),
+        Value::Number(n) => Some((place, n.to_string())),
+        Value::Array(list) => {
+            let texts: Vec<&str> = list.iter().filter_map(Value::as_str).collect();
+            if texts.len() < list.len() {
+                find(&mut r.all, place, "expected a list of texts");
+                return None;
+            }
+            Some((place, texts.join(",")))
+        }
+        _ => {
+            find(&mut r.all, place, "expected a text, a number or a list of texts");
+            None
+        }
+    }
+}
+
+/// A text; a finding if it is missing and has no fall-back.
+pub fn text(r: &mut Reader, name: &'static str, fall: Option<&str>) -> String {
+    match raw(r, name) {
+        Some((_, val)) if !val.is_empty() => val,
+        Some((place, _)) => {
+            find(&mut r.all, place, "must not be empty");
+            String::new()
+        }
+        None => {
+            if fall.is_none() && !failed(r, name) {
+                find(&mut r.all, format!("--{name}"), "missing");
+            }
+            fall.unwrap_or_default().to_string()
+        }
+    }
+}
+
+fn failed(r: &Reader, name: &str) -> bool {
+    r.file.contains_key(name) && !r.flags.contains_key(name)
+}
+
+/// A text that may be absent.
+pub fn maybe(r: &mut Reader, name: &'static str) -> Option<String> {
+    raw(r, name).map(|(_, val)| val)
+}
+
+/// A name: letters, digits, `-`, `_`, `.`.
+pub fn name(r: &mut Reader, key: &'static str) -> String {
+    let val = text(r, key, None);
+    let fit = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !val.is_empty() && (val.len() > 128 || !val.chars().all(fit)) {
+        find(&mut r.all, format!("--{key}"), "has letters, digits, `-`, `_` and `.` only");
+    }
+    val
+}
+
+/// An address by IP number.
+pub fn addr(r: &mut Reader, name: &'static str) -> SocketAddr {
+    let val = text(r, name, None);
+    one_addr(r, name, &val)
+}
+
+fn one_addr(r: &mut Reader, name: &str, val: &str) -> SocketAddr {
+    match val.trim().parse() {
+        Ok(addr) => addr,
+        Err(_) => {
+            if !val.is_empty() {
+                let text = format!("`{val}` is not an IP address with a port");
+                find(&mut r.all, format!("--{name}"), text);
+            }
+            SocketAddr::from(([0, 0, 0, 0], 0))
+        }
+    }
+}
+
+/// Exactly `n` different addresses, separated by commas.
+pub fn addrs(r: &mut Reader, name: &'static str, n: usize) -> Vec<SocketAddr> {
+    let val = text(r, name, None);
+    if val.is_empty() {
+        return Vec::new();
+    }
+    let list: Vec<SocketAddr> = val.split(',').map(|v| one_addr(r, name, v)).collect();
+    let mut seen = list.clone();
+    seen.sort();
+    seen.dedup();
+    if list.len() != n || seen.len() != n {
+        find(&mut r.all, format!("--{name}"), format!("expected {n} different addresses"));
+    }
+    list
+}
+
+/// A whole number within bounds.
+pub fn number(r: &mut Reader, name: &'static str, low: u64, high: u64, fall: Option<u64>) -> u64 {
+    match raw(r, name) {
+        None => {
+            if fall.is_none() && !failed(r, name) {
+                find(&mut r.all, format!("--{name}"), "missing");
+            }
+            fall.unwrap_or(low)
+        }
+        Some((place, val)) => match val.parse() {
+            Ok(n) if (low..=high).contains(&n) => n,
+            _ => {
+                find(&mut r.all, place, format!("expected a whole number from {low} to {high}"));
+                low
+            }
+        },
+    }
+}
+
+/// Ends the reading: unknown names in the file are findings too.
+pub fn done(r: &mut Reader) -> Vec<Finding> {
+    let asked = std::mem::take(&mut r.asked);
+    for key in r.file.keys().filter(|k| !asked.contains(&k.as_str())) {
+        let text = format!("unknown; known are {}", asked.join(", "));
+        r.all.push(Finding { place: format!("params.{key}"), text });
+    }
+    std::mem::take(&mut r.all)
+}
+
+/// Writes findings to stderr and ends the process, if there are any.
+pub fn exit_if_any(program: &str, all: &[Finding]) {
+    if all.is_empty() {
+        return;
+    }
+    eprintln!("{program}: {} thing(s) wrong with the params:", all.len());
+    eprintln!("{}", grebe::lang::finding::lines(all));
+    std::process::exit(EXIT_PARAMS);
+}
--- /dev/null
+++ b/crates/runtime/src/wire.rs
@@ -0,0 +1,196 @@
+//! Wires between our processes: framed TCP, dialled anew when lost.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel};
+
+use grebe::consts::{WIRE_BUFFER, WIRE_RETRY, WIRE_STALL};
+use grebe::wire::frame::{self, Gather, HEAD};
+use grebe::wire::msg::{Msg, Who};
+
+use crate::clock::duration;
+
+/// What wires tell their owner.
+pub enum WireEvent<T> {
+    /// A wire that we dial brought a message.
+    Dialled { tag: T, msg: Msg },
+    /// A wire that was opened towards us.
+    Opened { wire: u64, who: Who, out: Out },
+    Came { wire: u64, who: Who, msg: Msg },
+    Closed { wire: u64 },
+    /// A peer speaks something we can't read.
+    Trouble { text: String },
+}
+
+/// The sending end of a wire.
+#[derive(Clone)]
+pub struct Out {
+    tx: Sender<Vec<u8>>,
+}
+
+/// Sends a message, or drops it when the wire's buffer is full: every
+/// message of ours may be lost, and its owner sends it again.
+pub fn send(out: &Out, msg: &Msg) -> bool {
+    out.tx.try_send(frame::write(msg)).is_ok()
+}
+
+/// Keeps a wire to `addr`: dials it, again and again, says who we are, and
+/// passes on what comes. Ends when the last `Out` is dropped.
+pub fn dial<T: Clone + 'static>(
+    addr: SocketAddr,
+    who: Who,
+    tag: T,
+    events: UnboundedSender<WireEvent<T>>,
+) -> Out {
+    let (tx, rx) = channel(WIRE_BUFFER);
+    tokio::task::spawn_local(keep(addr, who, tag, events, rx));
+    Out { tx }
+}
+
+async fn keep<T: Clone + 'static>(
+    addr: SocketAddr,
+    who: Who,
+    tag: T,
+    events: UnboundedSender<WireEvent<T>>,
+    mut rx: Receiver<Vec<u8>>,
+) {
+    while !events.is_closed() {
+        let dialled = tokio::time::timeout(duration(WIRE_STALL), TcpStream::connect(addr)).await;
+        if let Ok(Ok(stream)) = dialled {
+            let _ = stream.set_nodelay(true);
+            let (read, write) = stream.into_split();
+            // What waited for a dead wire is old news.
+            while rx.try_recv().is_ok() {}
+            let tell = events.clone();
+            let tag = tag.clone();
+            let reading = reading(read, move |msg| {
+                tell.send(WireEvent::Dialled { tag: tag.clone(), msg }).is_ok()
+            });
+            let hello = frame::write(&Msg::Hello { who: who.clone() });
+            tokio::select! {
+                end = reading => note(&events, addr, end),
+                _ = writing(write, &mut rx, Some(hello)) => {}
+            }
+        }
+        if rx.is_closed() {
+            return;
+        }
+        tokio::time::sleep(duration(WIRE_RETRY)).await;
+    }
+}
+
+fn note<T>(events: &UnboundedSender<WireEvent<T>>, addr: SocketAddr, end: Option<String>) {
+    if let Some(text) = end {
+        let _ = events.send(WireEvent::Trouble { text: format!("wire to {addr}: {text}") });
+    }
+}
+
+/// Takes wires that others open, until the owner is gone.
+pub async fn accept<T: 'static>(listener: TcpListener, events: UnboundedSender<WireEvent<T>>) {
+    let mut next = 0u64;
+    loop {
+        let Ok((stream, addr)) = listener.accept().await else {
+            // Out of file handles, most likely: leave some time to recover.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        if events.is_closed() {
+            return;
+        }
+        next += 1;
+        let _ = stream.set_nodelay(true);
+        tokio::task::spawn_local(opened(stream, addr, next, events.clone()));
+    }
+}
+
+async fn opened<T: 'static>(
+    stream: TcpStream,
+    addr: SocketAddr,
+    wire: u64,
+    events: UnboundedSender<WireEvent<T>>,
+) {
+    let (read, write) = stream.into_split();
+    let (tx, mut rx) = channel(WIRE_BUFFER);
+    let mut who: Option<Who> = None;
+    let tell = events.clone();
+    let reading = reading(read, move |msg| {
+        let event = match (&who, msg) {
+            (None, Msg::Hello { who: w }) => {
+                who = Some(w.clone());
+                WireEvent::Opened { wire, who: w, out: Out { tx: tx.clone() } }
+            }
+            // Nothing counts before the greeting.
+            (None, _) => return false,
+            (Some(who), msg) => WireEvent::Came { wire, who: who.clone(), msg },
+        };
+        tell.send(event).is_ok()
+    });
+    tokio::select! {
+        end = reading => note(&events, addr, end),
+        _ = writing(write, &mut rx, None) => {}
+    }
+    let _ = events.send(WireEvent::Closed { wire });
+}
+
+/// Reads messages until the wire ends; says what could not be read.
+async fn reading(mut read: OwnedReadHalf, mut take: impl FnMut(Msg) -> bool) -> Option<String> {
+    let mut gather = Gather::default();
+    let mut raw = [0u8; HEAD];
+    loop {
+        if read.read_exact(&mut raw).await.is_err() {
+            return None;
+        }
+        let head = match frame::head(&raw) {
+            Ok(head) => head,
+            Err(e) => return Some(e.to_string()),
+        };
+        let mut body = vec![0u8; head.len];
+        if read.read_exact(&mut body).await.is_err() {
+            return None;
+        }
+        match frame::take(&mut gather, &head, &body) {
+            Ok(Some(msg)) => {
+                if !take(msg) {
+                    return None;
+                }
+            }
+            Ok(None) => {}
+            Err(e) => return Some(e.to_string()),
+        }
+    }
+}
+
+/// Writes messages in pieces, the small ones first, until the wire fails or
+/// nobody can send any more.
+async fn writing(mut write: OwnedWriteHalf, rx: &mut Receiver<Vec<u8>>, first: Option<Vec<u8>>) {
+    let mut small: VecDeque<Vec<u8>> = VecDeque::new();
+    let mut large: VecDeque<Vec<u8>> = VecDeque::new();
+    let sort = |small: &mut VecDeque<_>, large: &mut VecDeque<_>, bytes: Vec<u8>| {
+        let to = if frame::lane(bytes.len()) == 0 { small } else { large };
+        to.extend(frame::pieces(&bytes));
+    };
+    if let Some(bytes) = first {
+        sort(&mut small, &mut large, bytes);
+    }
+    loop {
+        while let Ok(bytes) = rx.try_recv() {
+            sort(&mut small, &mut large, bytes);
+        }
+        let Some(piece) = small.pop_front().or_else(|| large.pop_front()) else {
+            match rx.recv().await {
+                Some(bytes) => sort(&mut small, &mut large, bytes),
+                None => return,
+            }
+            continue;
+        };
+        let done = tokio::time::timeout(duration(WIRE_STALL), write.write_all(&piece)).await;
+        if !matches!(done, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
