Stop a paused querier from acting: a grip on the view, renewed with the tenure

A querier that was paused for 3.9 s woke and answered queued calls by a configuration older than 3 s (rule 9, 5 times). Ruled out: the feed (news was in its buffers), the core (it had expired it). Change: threads act only until a grip that the control thread renews; it runs from when a granted renewal was SENT, counts only if the configuration of that grant is obeyed, and words of neighbours count only as echoes of our own time.

--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -53,11 +53,17 @@
         .collect()
 }
 
-/// Whether we hear most of our neighbourhood, ourselves counted.
-pub fn in_company(w: &Watch, now: Tick) -> bool {
+/// Until when most of our neighbourhood, ourselves counted, hears us.
+pub fn company_until(w: &Watch) -> Tick {
     let near = neighbours(w);
-    let heard = heard(w, now).filter(|(n, _)| near.contains(n)).count();
-    (heard + 1) * 2 > near.len() + 1
+    // The fewest others with whom we are more than half.
+    let need = near.len().div_ceil(2);
+    if need == 0 {
+        return Tick::MAX;
+    }
+    let mut at: Vec<Tick> = near.iter().filter_map(|n| w.peers.get(n).map(|p| p.at)).collect();
+    at.sort_unstable_by(|a, b| b.cmp(a));
+    at.get(need - 1).map_or(0, |at| at + consts::COHORT_SILENCE)
 }
 
 /// Renews the tenure when it is due.
@@ -109,48 +115,64 @@
     }
 }
 
-/// A renewal was granted.
-pub fn granted(w: &mut Watch, seat: Option<Seat>, name: &str, count: u64) {
-    if name != w.me.name {
-        return;
-    }
+/// A renewal was granted, when the configuration was at `rev`.
+pub fn granted(w: &mut Watch, seat: Option<Seat>, count: u64, rev: u64) {
     let Some(at) = w.tenure.sent.get(&count).copied() else { return };
     w.tenure.sent = w.tenure.sent.split_off(&(count + 1));
-    w.tenure.held_from = w.tenure.held_from.max(at);
-    w.tenure.granted = true;
     w.tenure.seat = seat;
+    w.tenure.grants.push((rev, at));
+    hold(w);
 }
 
-/// Speaks to the neighbours: the next few members after us, by name.
+/// Takes up the grants whose configuration we obey by now.
+pub fn hold(w: &mut Watch) {
+    let obeys = w.built_rev;
+    let t = &mut w.tenure;
+    for (rev, at) in &t.grants {
+        if *rev <= obeys {
+            t.held_from = t.held_from.max(*at);
+            t.granted = true;
+        }
+    }
+    let held = t.held_from;
+    t.grants.retain(|(rev, at)| *rev > obeys && *at > held);
+    if t.grants.len() > 16 {
+        t.grants.remove(0);
+    }
+}
+
+/// Speaks to the neighbours.
 pub fn gossip(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
     if now < w.gossip_at {
         return;
     }
     w.gossip_at = now + consts::COHORT_BEAT;
-    let near = ahead(w, 1);
-    for name in near {
-        let msg = gossip_msg(w, now, true);
+    for name in neighbours(w) {
+        let msg = gossip_msg(w, now, Some(now), None);
         to_member(w, &name, msg, out);
     }
     w.peers.retain(|_, p| since(p.at, now) < consts::COHORT_SILENCE * 4);
 }
 
 /// What we say to another member.
-pub fn gossip_msg(w: &Watch, now: Tick, reply: bool) -> Msg {
+pub fn gossip_msg(w: &Watch, now: Tick, asked: Option<Tick>, echo: Option<Tick>) -> Msg {
     Msg::Gossip {
         name: w.me.name.clone(),
         core_age_ms: core_age(w, now) / MILLI,
         ready: w.ready,
         places: places(w),
-        reply,
+        asked,
+        echo,
     }
 }
 
 /// Takes in what a member says of itself.
-pub fn spoke(w: &mut Watch, now: Tick, name: &str, peer: (u64, bool, Vec<crate::wire::msg::Place>)) {
+pub fn spoke(w: &mut Watch, echo: Tick, name: &str, peer: (u64, bool, Vec<crate::wire::msg::Place>)) {
     let (age_ms, ready, places) = peer;
-    let peer = Peer { at: now, core_age: ms(age_ms), places, ready };
-    w.peers.insert(name.to_string(), peer);
+    if w.peers.get(name).is_none_or(|p| p.at <= echo) {
+        let peer = Peer { at: echo, core_age: ms(age_ms), places, ready };
+        w.peers.insert(name.to_string(), peer);
+    }
 }
 
 /// Decides door, readiness and share, and says what changed.
@@ -163,7 +185,8 @@
     w.passed_by = if passed { w.passed_by.or(Some(now)) } else { None };
     let others_have =
         w.passed_by.is_some_and(|at| since(at, now) >= 2 * consts::TENURE_BEAT);
-    let alone = w.tenure.granted && (!in_company(w, now) || others_have);
+    let company = company_until(w);
+    let alone = w.tenure.granted && (now > company || others_have);
     let lapsed = age >= consts::TENURE_TRUST;
     let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
     // The platform needs a moment to see that we are not ready: until then
@@ -192,6 +215,18 @@
         w.shared = shares.clone();
         out.push(Command::Shares(shares));
     }
+    // The threads look at this themselves before they act: a process that was
+    // paused wakes with an old grip and does nothing until it has a new one.
+    let held = if w.tenure.granted { w.tenure.held_from + consts::TENURE_TRUST } else { 0 };
+    let grip = match door {
+        Door::CutOff | Door::Shut => 0,
+        _ if lapsed => company,
+        _ => held,
+    };
+    if grip != w.grip {
+        w.grip = grip;
+        out.push(Command::Grip(grip));
+    }
     if door != w.door {
         if door == Door::CutOff {
             w.counts.lapses += 1;
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -19,12 +19,11 @@
             Msg::Reach { formed, rev } => {
                 w.reach[usize::from(seat)] = Some((formed, rev, now));
             }
-            Msg::Tenure { name, count, .. } => {
-                if name == w.me.name {
-                    standing::granted(w, Some(seat), &name, count);
-                } else if w.handed.contains_key(&name) {
-                    let msg = Msg::Tenure { name: name.clone(), count, epoch: 0 };
-                    standing::to_member(w, &name, msg, &mut out);
+            Msg::Tenure { ref name, count, rev, .. } => {
+                if *name == w.me.name {
+                    standing::granted(w, Some(seat), count, rev);
+                } else if w.handed.contains_key(name) {
+                    standing::to_member(w, &name.clone(), msg, &mut out);
                 }
             }
             msg => any(w, msg, false, &mut out),
@@ -51,6 +50,7 @@
     }
     duty::findings(w, now, &mut out);
     news::settle_start(w, now);
+    standing::hold(w);
     news::publish(w, &mut out);
     standing::decide(w, now, &mut out);
     standing::renew(w, now, &mut out);
@@ -78,12 +78,14 @@
 
 fn from_member(w: &mut Watch, now: Tick, name: &str, msg: Msg, out: &mut Vec<Command>) {
     match msg {
-        Msg::Gossip { name, core_age_ms, ready, places: theirs, reply } => {
+        Msg::Gossip { name, core_age_ms, ready, places: theirs, asked, echo } => {
             let ahead = theirs.iter().any(|p| w.held.get(&p.part).is_some_and(|h| h.rev < p.rev));
             let config = theirs.iter().any(|p| p.part == CONFIG && p.rev > 0);
-            standing::spoke(w, now, &name, (core_age_ms, ready, theirs));
-            if reply {
-                let msg = standing::gossip_msg(w, now, false);
+            if let Some(echo) = echo {
+                standing::spoke(w, echo, &name, (core_age_ms, ready, theirs));
+            }
+            if asked.is_some() {
+                let msg = standing::gossip_msg(w, now, None, asked);
                 standing::to_member(w, &name, msg, out);
             }
             // Ask a member only for what the core did not bring us in time.
@@ -106,7 +108,9 @@
                 duty::to_core(w, Msg::Renew { member, count, far }, out);
             }
         }
-        Msg::Tenure { name, count, .. } => standing::granted(w, None, &name, count),
+        Msg::Tenure { name, count, rev, .. } if name == w.me.name => {
+            standing::granted(w, None, count, rev);
+        }
         msg => any(w, msg, true, out),
     }
 }
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -36,6 +36,8 @@
     pub peers: IndexMap<String, Peer>,
     /// Since when others have the core's word and we lack it.
     pub passed_by: Option<Tick>,
+    /// Until when the threads may act on their view.
+    pub grip: Tick,
     pub door: Door,
     pub ready: bool,
     /// When we were told to stop.
@@ -73,7 +75,10 @@
     pub count: u64,
     /// When each renewal that is not yet granted was sent.
     pub sent: BTreeMap<u64, Tick>,
-    /// When the newest granted renewal was sent; zero before the first.
+    /// Grants whose configuration we do not obey yet: revision, sent when.
+    pub grants: Vec<(u64, Tick)>,
+    /// When the newest granted renewal was sent, of those that count; zero
+    /// before the first.
     pub held_from: Tick,
     pub granted: bool,
     /// The seat through which the last grant came.
@@ -83,6 +88,8 @@
 
 /// Another member, as it last spoke to us.
 pub struct Peer {
+    /// When we sent the question that it last answered: a process that was
+    /// paused must not take old words in its buffers for fresh ones.
     pub at: Tick,
     /// Age of its word from the core when it spoke.
     pub core_age: Tick,
@@ -126,6 +133,8 @@
     /// empty while we have no share.
     Shares(Vec<(String, u32)>),
     Door(Door),
+    /// Until when the threads may act on their view, if nothing else is said.
+    Grip(Tick),
     Ready(bool),
     PollList,
     Probe(Vec<Arc<LeafInfo>>),
@@ -149,6 +158,7 @@
         tenure: Tenure::default(),
         peers: IndexMap::new(),
         passed_by: None,
+        grip: 0,
         door: Door::Shut,
         ready: false,
         stopping: None,
--- a/crates/grebe/src/query/desk.rs
+++ b/crates/grebe/src/query/desk.rs
@@ -40,6 +40,9 @@
     pub zone: String,
     pub door: Door,
     pub view: Arc<View>,
+    /// Until when we may act on the view; later we neither take calls nor
+    /// send dispatches.
+    pub grip: Tick,
     pub share: Share,
     pub queries: IndexMap<u64, Query>,
     pub dispatches: IndexMap<u64, Dispatch>,
@@ -117,6 +120,7 @@
     View(Arc<View>),
     Share(Share),
     Door(Door),
+    Grip(Tick),
     /// Time has passed.
     Wake,
 }
@@ -173,6 +177,7 @@
         zone: zone.to_string(),
         door: Door::Shut,
         view: Arc::new(View::default()),
+        grip: 0,
         share: Share::default(),
         queries: IndexMap::new(),
         dispatches: IndexMap::new(),
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -50,6 +50,10 @@
             sweep(d, now, &mut out);
         }
         Event::Door(door) => d.door = door,
+        Event::Grip(until) => {
+            d.grip = until;
+            sweep(d, now, &mut out);
+        }
         Event::Wake => sweep(d, now, &mut out),
     }
     // Given-up dispatches leave room behind that waiting queries can use.
@@ -123,6 +127,9 @@
         Door::CutOff => return say(Reason::CutOff, "this node is cut off from the others"),
         Door::Stopping => return say(Reason::Stopping, "this node is going down"),
     }
+    if now > d.grip {
+        return say(Reason::CutOff, "this node's view may be old: it has no tenure now");
+    }
     let Some(map) = d.view.mappings.get(&ask.mapping).cloned() else {
         return say(Reason::NoMapping, "no search of that name is configured");
     };
@@ -284,6 +291,9 @@
 }
 
 fn pick(d: &mut Desk, now: Tick, q: &Query, i: usize) -> Choice {
+    if now > d.grip {
+        return Choice::Full;
+    }
     let s = Scene { view: &d.view, share: &d.share, leafs: &d.leafs, zone: &d.zone, now };
     choose(&s, &mut d.luck, &q.map, q.slots[i].shard, &q.slots[i].tried)
 }
--- a/crates/grebe/src/state/members.rs
+++ b/crates/grebe/src/state/members.rs
@@ -69,7 +69,8 @@
     } else {
         core.members.heard.insert(name.clone(), Heard { at: now, member, far });
     }
-    let msg = Msg::Tenure { name, count, epoch };
+    let rev = core.parts[0].shown_rev;
+    let msg = Msg::Tenure { name, count, epoch, rev };
     match (from, wire) {
         (Some(seat), _) => out.push(Command::ToSeat { seat, msg }),
         (None, Some(wire)) => out.push(Command::ToWire { wire, msg }),
@@ -197,8 +198,8 @@
 }
 
 /// The owner granted a tenure that we had handed over.
-pub fn granted(core: &Core, name: String, count: u64, epoch: u64, out: &mut Vec<Command>) {
-    if let Some(wire) = core.members.wires.get(&name) {
-        out.push(Command::ToWire { wire: *wire, msg: Msg::Tenure { name, count, epoch } });
+pub fn granted(core: &Core, name: &str, msg: Msg, out: &mut Vec<Command>) {
+    if let Some(wire) = core.members.wires.get(name) {
+        out.push(Command::ToWire { wire: *wire, msg });
     }
 }
--- a/crates/grebe/src/state/step.rs
+++ b/crates/grebe/src/state/step.rs
@@ -161,7 +161,7 @@
         Msg::Renew { member, count, far } => {
             members::renew(core, now, Some(from), None, (member, count, far), out);
         }
-        Msg::Tenure { name, count, epoch } => members::granted(core, name, count, epoch, out),
+        Msg::Tenure { ref name, .. } => members::granted(core, &name.clone(), msg, out),
         Msg::Tell(cohort) => members::told(core, cohort, out),
         Msg::Operate { op, request, expect, deed } => {
             let from = OpFrom { seat: Some(from), op };
--- a/crates/grebe/src/wire/msg.rs
+++ b/crates/grebe/src/wire/msg.rs
@@ -144,11 +144,21 @@
 
     // ---- members ----
     Renew { member: Member, count: u64, far: Progress },
-    Tenure { name: String, count: u64, epoch: u64 },
+    /// Granted; `rev` is the configuration's revision at that time. Only a
+    /// member that obeys it may act on the grant.
+    Tenure { name: String, count: u64, epoch: u64, rev: u64 },
     Tell(Cohort),
     /// Between cohort members: how old the sender's word from the core is,
-    /// and what it holds. `reply` asks for the same in return.
-    Gossip { name: String, core_age_ms: u64, ready: bool, places: Vec<Place>, reply: bool },
+    /// and what it holds. `asked` is the sender's time, which the answer
+    /// gives back as `echo`: only an echo proves that we are heard now.
+    Gossip {
+        name: String,
+        core_age_ms: u64,
+        ready: bool,
+        places: Vec<Place>,
+        asked: Option<u64>,
+        echo: Option<u64>,
+    },
 
     // ---- leafs ----
     /// The platform's list for one part, from the holder of that duty.
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -198,6 +198,11 @@
                     let _ = desk.send(Work::Event(desk::Event::Door(door)));
                 }
             }
+            Command::Grip(until) => {
+                for desk in &io.desks {
+                    let _ = desk.send(Work::Event(desk::Event::Grip(until)));
+                }
+            }
             Command::Ready(ready) => {
                 let _ = io.ready.send(ready);
             }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -2,6 +2,7 @@
 //! with seeded net, disks, leafs, list, callers and operators.
 
 pub mod backs;
+pub mod chaos;
 pub mod check;
 pub mod oracle;
 pub mod net;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -17,6 +17,7 @@
     compare: bool,
     json: bool,
     story: bool,
+    chaos: bool,
     deploy: String,
     files: Vec<String>,
 }
@@ -31,8 +32,9 @@
         .help("folder of the deployments' files")
         .argument::<String>("DIR")
         .fallback("deploy".into());
+    let chaos = long("chaos").help("add troubles drawn by each seed").switch();
     let files = positional::<String>("SCENARIO").some("name a scenario's file");
-    construct!(Args { seed, seeds, compare, json, story, deploy, files })
+    construct!(Args { seed, seeds, compare, json, story, chaos, deploy, files })
         .to_options()
         .descr("plays a fleet of daemons under a virtual clock")
 }
@@ -63,7 +65,7 @@
     for seed in args.seed..args.seed + args.seeds {
         let mut rows = Vec::new();
         for s in &list {
-            let w = play(s, seed, None);
+            let w = if args.chaos { play(&stirred(s, seed), seed, None) } else { play(s, seed, None) };
             broken |= !w.rules.counts.is_empty();
             show(&args, s, seed, &w);
             rows.push(sums(&w));
@@ -75,6 +77,14 @@
     std::process::exit(if broken { EXIT_BROKEN } else { 0 });
 }
 
+/// The scenario with troubles drawn by the seed.
+fn stirred(s: &Scenario, seed: u64) -> Scenario {
+    let mut out = s.clone();
+    let drawn = sim::chaos::chaos(seed, s.seconds as f64);
+    out.troubles.extend(drawn.iter().map(sim::scenario::drawn));
+    out
+}
+
 fn load(file: &str, deploy: &str) -> Result<Scenario, Vec<Finding>> {
     let whole = |text: String| vec![Finding { place: "$".into(), text }];
     let text = std::fs::read(file).map_err(|e| whole(e.to_string()))?;
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -176,6 +176,15 @@
     (all.len() == before).then(|| Trouble { at_ms: (at_s * 1000.0) as u64, what, val: val.clone() })
 }
 
+/// A trouble that a generator made, which is well formed.
+pub fn drawn(val: &Value) -> Trouble {
+    Trouble {
+        at_ms: (val["at_s"].as_f64().unwrap_or(0.0) * 1000.0) as u64,
+        what: val["do"].as_str().unwrap_or_default().to_string(),
+        val: val.clone(),
+    }
+}
+
 /// The machines that a word names.
 fn nodes(word: &str, queriers: usize) -> Vec<Node> {
     let seats = (0..3).map(Node::Seat);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -704,6 +704,11 @@
                 push(w, ms(300), Hap::ToWatch { q, life, event: wat::Event::Drained });
             }
         }
+        wat::Command::Grip(until) => {
+            for t in 0..THREADS as usize {
+                push(w, 20, Hap::ToDesk { q, life, t, event: desk::Event::Grip(until) });
+            }
+        }
         wat::Command::Ready(ready) => w.queriers[q].ready = ready,
         wat::Command::PollList => {
             if !w.queriers[q].polling {
--- /dev/null
+++ b/crates/sim/tests/common/mod.rs
@@ -0,0 +1,22 @@
+//! What the simulated tests share: the deployments' files.
+#![allow(dead_code)]
+
+use serde_json::{Value, json};
+use sim::scenario::{Scenario, read};
+
+/// The deployment's files from the repository.
+pub fn load(name: &str) -> Result<Value, String> {
+    let path = format!("{}/../../deploy/{name}", env!("CARGO_MANIFEST_DIR"));
+    let raw = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    serde_json::from_slice(&raw).map_err(|e| e.to_string())
+}
+
+/// A scenario with these troubles.
+pub fn scenario(name: &str, seconds: u64, factor: f64, troubles: Vec<Value>) -> Scenario {
+    let val = json!({ "name": name, "seconds": seconds, "queriers": 7, "factor": factor,
+                      "troubles": troubles });
+    match read(val.to_string().as_bytes(), &load) {
+        Ok(s) => s,
+        Err(all) => panic!("{}", grebe::lang::finding::lines(&all)),
+    }
+}
