Test real processes: callers, operators, any one death, full restart, clean stop

Cause: only the simulator was tested; sockets, fsync and signals were not. Four tests on loopback: statuses and findings as documented, every answer checked against the leafs' own log; each controller killed in turn during traffic (one comes back empty), each querier too; all restart within 12 s with the accepted configuration; SIGTERM drains and exits 0; params exit 2.

--- /dev/null
+++ b/crates/programs/tests/fleet.rs
@@ -0,0 +1,296 @@
+//! Real processes on loopback: the whole path, and the death of any one.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use hyper::Method;
+use proof::callers::{Seen, load, report, watch_ready};
+use proof::fleet::{self, Fleet, Layout};
+use serde_json::{Value, json};
+use sim::check::{Asked, success};
+use sim::spec::{self, Spec};
+
+/// How long anything may take that is only waited for.
+const LONG: Duration = Duration::from_secs(20);
+
+fn layout(test: &str, name: &str, queriers: usize) -> (Layout, Spec) {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let _ = std::fs::remove_dir_all(&dir);
+    let deploy = root.join("deploy");
+    let spec = spec::read(&deploy.join(format!("{name}.standins.json")).display().to_string());
+    let bin = PathBuf::from(env!("CARGO_BIN_EXE_controller"));
+    let bin = bin.parent().unwrap().to_path_buf();
+    (Layout { bin, dir, deploy, name: name.into(), queriers }, spec.unwrap())
+}
+
+/// Runs a test's body on one thread, as the daemons do.
+fn block<F: Future>(body: F) -> F::Output {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&rt, body)
+}
+
+async fn all_ready(f: &Fleet) {
+    for i in 0..f.queriers.len() {
+        if f.queriers[i].child.is_some() {
+            assert!(fleet::until(LONG, || fleet::ready(f, i)).await, "querier {i} is not ready");
+        }
+    }
+}
+
+/// Waits until every running querier obeys a revision.
+async fn all_obey(f: &Fleet, rev: u64) {
+    for i in 0..f.queriers.len() {
+        if f.queriers[i].child.is_some() {
+            let obeys = || async { fleet::obeyed(f, i).await.is_some_and(|r| r >= rev) };
+            assert!(fleet::until(LONG, obeys).await, "querier {i} does not obey {rev}");
+        }
+    }
+}
+
+async fn search(f: &Fleet, i: usize, path: &str, body: Value, budget: &str) -> (u16, Value) {
+    let url = format!("http://{}/v1/search/{path}", f.fronts[i]);
+    let heads = [("budget-ms", budget)];
+    let heads = if budget.is_empty() { &heads[..0] } else { &heads[..] };
+    fleet::request(&f.http, Method::POST, url, body.to_string().into_bytes(), heads)
+        .await
+        .unwrap()
+}
+
+/// Runs grebectl against the fleet; gives exit code and output.
+fn ctl(f: &Fleet, args: &[&str]) -> (i32, String) {
+    let at: Vec<String> = f.doors.iter().map(|d| d.to_string()).collect();
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_grebectl"))
+        .env("GREBE_AT", at.join(","))
+        .args(args)
+        .output()
+        .unwrap();
+    let text = format!(
+        "{}{}",
+        String::from_utf8_lossy(&out.stdout),
+        String::from_utf8_lossy(&out.stderr)
+    );
+    (out.status.code().unwrap_or(-1), text)
+}
+
+#[googletest::test]
+fn callers_and_operators_are_served() {
+    block(async {
+        let (layout, spec) = layout("served", "kahurangi", 3);
+        let dir = layout.dir.clone();
+        let f = fleet::up(layout).await.unwrap();
+        all_ready(&f).await;
+        callers(&f, &spec).await;
+        operators(&f, &dir).await;
+        let state = fleet::ask_backs(&f, "/state").await.unwrap();
+        for leaf in state["leafs"].as_array().unwrap() {
+            expect_that!(leaf["changed"].as_u64(), some(eq(0)));
+            expect_that!(leaf["misdirected"].as_u64(), some(eq(0)));
+        }
+    });
+}
+
+async fn callers(f: &Fleet, spec: &Spec) {
+    for (n, kind) in spec.kinds.iter().enumerate() {
+        let asked = Asked {
+            question: format!("what-{n}"),
+            key: kind.lookup.then(|| format!("unit-{n}")),
+        };
+        let mut body = json!({ "question": asked.question, "limit": kind.limit });
+        if let Some(key) = &asked.key {
+            body["key"] = json!(key);
+        }
+        let (code, val) = search(f, n % 3, &kind.search, body, "5000").await;
+        assert_eq!(code, 200, "{val}");
+        let missing = val["missing"].to_string();
+        let (bad, _) = success(kind, &asked, Some(&missing), val.to_string().as_bytes());
+        expect_that!(bad, is_empty());
+    }
+    let ask = json!({ "question": "q" });
+    let cases = [
+        ("fleet", ask.clone(), "", 400, "bad-call"),
+        ("fleet", ask.clone(), "soon", 400, "bad-call"),
+        ("fleet", ask.clone(), "0", 400, "bad-call"),
+        ("fleet", json!({ "limit": 3 }), "900", 400, "bad-call"),
+        ("fleet", json!({ "question": "q", "limt": 3 }), "900", 400, "bad-call"),
+        ("unit", ask.clone(), "900", 400, "no-key"),
+        ("nothing", ask.clone(), "900", 404, "no-mapping"),
+        ("fleet", json!({ "question": "x".repeat(70_000) }), "900", 413, "too-large"),
+    ];
+    for (path, body, budget, want, reason) in cases {
+        let (code, val) = search(f, 0, path, body, budget).await;
+        expect_that!((code, val["error"].as_str()), eq((want, Some(reason))), "{path} {budget}");
+    }
+}
+
+async fn operators(f: &Fleet, dir: &std::path::Path) {
+    let (code, out) = ctl(f, &["explain", "fleet"]);
+    expect_that!(code, eq(0));
+    expect_that!(out, contains_substring("answers with 3 of 4 shards or bounces"));
+    let (code, out) = ctl(f, &["--wait", "10", "drain", "b"]);
+    expect_that!(code, eq(0), "{out}");
+    expect_that!(out, contains_substring("obeyed by all 3 members"));
+    let (code, out) = ctl(f, &["--output", "json", "get"]);
+    expect_that!(code, eq(0));
+    let val: Value = serde_json::from_str(&out).unwrap();
+    expect_that!(val["config"]["zones"][1]["state"].as_str(), some(eq("drained")));
+    let rev = val["revision"].as_u64().unwrap();
+    // A revision that has moved on, and a request that is sent twice.
+    let (code, _) = ctl(f, &["--expect-revision", &(rev - 1).to_string(), "undrain", "b"]);
+    expect_that!(code, eq(4));
+    let (code, one) = ctl(f, &["--output", "json", "--request-id", "same", "undrain", "b"]);
+    expect_that!(code, eq(0));
+    let (_, two) = ctl(f, &["--output", "json", "--request-id", "same", "undrain", "b"]);
+    let (one, two): (Value, Value) =
+        (serde_json::from_str(&one).unwrap(), serde_json::from_str(&two).unwrap());
+    expect_that!(two["revision"], eq(&one["revision"]));
+    expect_that!(two["again"].as_bool(), some(eq(true)));
+    // Findings together, and nothing applied.
+    let bad = dir.join("bad.json");
+    std::fs::write(&bad, r#"{"pools": [{"name": "p"}], "searches": [{"name": "s", "plan": ""}]}"#)
+        .unwrap();
+    let (code, out) = ctl(f, &["apply", bad.to_str().unwrap()]);
+    expect_that!(code, eq(3));
+    expect_that!(out, contains_substring("pools[0].service"));
+    expect_that!(out, contains_substring("searches[0].promise_ms"));
+    let (code, out) = ctl(f, &["patch", bad.to_str().unwrap()]);
+    expect_that!(code, eq(3));
+    expect_that!(out, contains_substring("pools[0].service"));
+    let (code, out) = ctl(f, &["status"]);
+    expect_that!(code, eq(0));
+    expect_that!(out, contains_substring("q2"));
+}
+
+/// Sends light traffic for as long as `body` takes, then checks every answer
+/// against the leafs' own log.
+async fn under_traffic<T>(f: Fleet, spec: &Spec, body: impl AsyncFnOnce(&mut Fleet) -> T) -> (Fleet, T, Value) {
+    let mut f = f;
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let ready = Rc::new(RefCell::new(f.fronts.clone()));
+    let far = Instant::now() + Duration::from_secs(600);
+    let local = tokio::task::LocalSet::new();
+    let fronts = f.fronts.clone();
+    let (seen_in, ready_in, kinds) = (seen.clone(), ready.clone(), spec.kinds.clone());
+    let calls = async move {
+        tokio::task::spawn_local(watch_ready(runtime::http::client(2), fronts, ready_in.clone(), far));
+        for (i, kind) in kinds.into_iter().enumerate() {
+            let (http, ready, seen) = (runtime::http::client(32), ready_in.clone(), seen_in.clone());
+            tokio::task::spawn_local(load(http, kind, 0.1, ready, seen, i as u64, far));
+        }
+        std::future::pending::<()>().await;
+    };
+    let got = tokio::select! {
+        _ = local.run_until(calls) => unreachable!("the load has no end of its own"),
+        got = body(&mut f) => got,
+    };
+    // The dropped set ends all calls under way; what was answered is checked.
+    drop(local);
+    let runs = fleet::ask_backs(&f, "/runs").await.unwrap();
+    let out = report(&seen.borrow(), runs.as_array().unwrap());
+    (f, got, out)
+}
+
+fn successes(out: &Value) -> u64 {
+    out["kinds"].as_object().unwrap().values().filter_map(|k| k["full"].as_u64()).sum()
+}
+
+#[googletest::test]
+fn any_one_process_may_die() {
+    block(async {
+        let (layout, spec) = layout("die", "mohalla", 3);
+        let f = fleet::up(layout).await.unwrap();
+        all_ready(&f).await;
+        let (f, _, out) = under_traffic(f, &spec, async |f| {
+            // The owner of the configuration, then the other two seats.
+            let owner = fleet::config_owner(f).await.unwrap();
+            for (n, seat) in [owner, (owner + 1) % 3, (owner + 2) % 3].into_iter().enumerate() {
+                fleet::kill(&mut f.seats[seat]);
+                let val = json!({ "zones": [{ "name": format!("mark-{n}"), "state": "open" }] });
+                let rev = fleet::patch(f, &val, &format!("mark-{n}")).await.unwrap();
+                all_obey(f, rev).await;
+                // The second comes back as an empty machine.
+                if n == 1 {
+                    std::fs::remove_dir_all(f.layout.dir.join(format!("seat-{seat}"))).unwrap();
+                }
+                fleet::start(&mut f.seats[seat]).unwrap();
+                let back = || async {
+                    fleet::status(f, seat).await.is_ok_and(|s| {
+                        s["here"]["parts"].as_array().is_some_and(|p| {
+                            p.iter().all(|p| p["role"] == "follower" || p["role"] == "owner")
+                        }) && s["here"]["parts"][0]["shown"].as_u64() >= Some(rev)
+                    })
+                };
+                assert!(fleet::until(LONG, back).await, "seat {seat} is not whole again");
+            }
+            for i in 0..f.queriers.len() {
+                fleet::kill(&mut f.queriers[i]);
+                fleet::start(&mut f.queriers[i]).unwrap();
+                assert!(fleet::until(LONG, || fleet::ready(f, i)).await, "querier {i} is not back");
+            }
+        })
+        .await;
+        expect_that!(out["violations"].as_u64(), some(eq(0)), "{out}");
+        expect_that!(successes(&out), gt(50));
+        let (code, text) = ctl(&f, &["--output", "json", "get"]);
+        expect_that!(code, eq(0));
+        for n in 0..3 {
+            expect_that!(text, contains_substring(format!("mark-{n}")));
+        }
+    });
+}
+
+#[googletest::test]
+fn everything_restarts_within_its_time_and_stops_cleanly() {
+    block(async {
+        let (layout, _) = layout("restart", "mohalla", 3);
+        let mut f = fleet::up(layout).await.unwrap();
+        all_ready(&f).await;
+        let val = json!({ "zones": [{ "name": "kept", "state": "open" }] });
+        let rev = fleet::patch(&f, &val, "kept").await.unwrap();
+        for p in f.seats.iter_mut().chain(&mut f.queriers) {
+            fleet::kill(p);
+        }
+        let begun = Instant::now();
+        for p in f.seats.iter_mut().chain(&mut f.queriers) {
+            fleet::start(p).unwrap();
+        }
+        all_ready(&f).await;
+        expect_that!(begun.elapsed(), lt(Duration::from_secs(12)));
+        all_obey(&f, rev).await;
+        // A wish to stop: not ready at once, then a clean end.
+        fleet::signal(&f.queriers[1], "TERM").unwrap();
+        let gone = || async { !fleet::ready(&f, 1).await };
+        assert!(fleet::until(LONG, gone).await);
+        expect_that!(fleet::ended(&mut f.queriers[1], LONG), some(eq(0)));
+        for i in 0..3 {
+            fleet::signal(&f.seats[i], "TERM").unwrap();
+            expect_that!(fleet::ended(&mut f.seats[i], LONG), some(eq(0)));
+        }
+    });
+}
+
+#[googletest::test]
+fn wrong_params_are_found_together_before_any_port_opens() {
+    let run = |program: &str, args: &[&str]| {
+        let out = std::process::Command::new(program).args(args).output().unwrap();
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).to_string())
+    };
+    let (code, text) = run(
+        env!("CARGO_BIN_EXE_controller"),
+        &["--seat", "3", "--listen", "localhost:1", "--seeds", "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2"],
+    );
+    expect_that!(code, some(eq(2)));
+    for want in ["--seat", "--zone", "--listen", "--inner", "--seeds", "--data"] {
+        expect_that!(text, contains_substring(want));
+    }
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("params.json");
+    std::fs::write(&file, r#"{"name": "q 1", "zone": "a", "thread": 3}"#).unwrap();
+    let (code, text) = run(env!("CARGO_BIN_EXE_querier"), &["--params", file.to_str().unwrap()]);
+    expect_that!(code, some(eq(2)));
+    for want in ["--name", "--listen", "--list", "params.thread"] {
+        expect_that!(text, contains_substring(want));
+    }
+}
