Count a change as accepted only once most members obey it

Ruled out: a shorter tenure only narrows the gap. Change: the operator hears 'accepted' when a majority of seats has synced AND a majority of the cohort obeys; members renew at once when they take a new configuration; company that is ahead of us can't vouch for our view.

--- a/crates/grebe/src/cohort/news.rs
+++ b/crates/grebe/src/cohort/news.rs
@@ -118,6 +118,10 @@
         // Nobody knows yet what these bear: ask soon.
         w.probe_at = w.probe_at.min(now + consts::PROBE_SOON);
     }
+    if w.view.as_ref().is_none_or(|v| v.revision < new.revision) {
+        // Operators wait to hear that we obey.
+        w.tenure.renew_at = 0;
+    }
     w.view = Some(new.clone());
     w.counts.views += 1;
     out.push(Command::View(new));
--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -11,7 +11,7 @@
 use super::watch::{Command, Peer, Watch, places};
 use crate::consts;
 use crate::digest::hash;
-use crate::names::Seat;
+use crate::names::{CONFIG, Seat};
 use crate::query::desk::Door;
 use crate::time::{MILLI, Span, Tick, ms, since};
 use crate::wire::msg::{Msg, Progress};
@@ -185,7 +185,10 @@
     w.passed_by = if passed { w.passed_by.or(Some(now)) } else { None };
     let others_have =
         w.passed_by.is_some_and(|at| since(at, now) >= 2 * consts::TENURE_BEAT);
-    let company = company_until(w);
+    // Company whose configuration is ahead of ours can't vouch for our view.
+    let ahead = heard(w, now)
+        .any(|(_, p)| p.places.iter().any(|pl| pl.part == CONFIG && pl.rev > w.built_rev));
+    let company = if ahead { 0 } else { company_until(w) };
     let alone = w.tenure.granted && (now > company || others_have);
     let lapsed = age >= consts::TENURE_TRUST;
     let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
--- a/crates/grebe/src/state/members.rs
+++ b/crates/grebe/src/state/members.rs
@@ -144,6 +144,26 @@
     n == 0 || heard * 2 > n
 }
 
+/// The revision that most of the cohort obeys; any, while there is no cohort.
+fn most_obey(m: &Members) -> u64 {
+    let far = |k: &Member| m.heard.get(&k.name).map_or(0, |h| h.far.obeys);
+    let mut list: Vec<u64> = m.cohort.members.iter().map(far).collect();
+    list.sort_unstable_by(|a, b| b.cmp(a));
+    list.get(list.len() / 2).copied().unwrap_or(u64::MAX)
+}
+
+/// Tells the configuration's owner what most members obey by now.
+pub fn obeyed(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
+    let rev = most_obey(&core.members);
+    let p = &mut core.parts[0];
+    if let Role::Owner(o) = &mut p.role
+        && o.obeyed != rev
+    {
+        o.obeyed = rev;
+        super::owner::settle(p, now, out);
+    }
+}
+
 /// An operator vouches that a member is down for good.
 pub fn forget(core: &mut Core, name: &str) -> bool {
     let m = &mut core.members;
--- a/crates/grebe/src/state/owner.rs
+++ b/crates/grebe/src/state/owner.rs
@@ -25,6 +25,7 @@
         beat_at: now,
         rounds: VecDeque::new(),
         answered: [(0, now); SEATS],
+        obeyed: 0,
         waits: Vec::new(),
         reads: Vec::new(),
         absent: BTreeMap::new(),
@@ -202,7 +203,8 @@
 pub fn settle(p: &mut Part, now: Tick, out: &mut Vec<Command>) {
     let (rev, map) = (p.shown_rev, &p.shown);
     let Role::Owner(o) = &mut p.role else { return };
-    let (done, kept) = (o.done, o.kept);
+    let (done, kept) = (o.done.min(o.obeyed), o.kept);
+    let synced = o.done;
     let copies = |rev: u64| kept.iter().flatten().filter(|k| **k >= rev).count() as u32;
     o.waits.retain_mut(|w| {
         if w.rev <= done {
@@ -216,7 +218,12 @@
             return false;
         }
         if now >= w.until {
-            let why = "no majority synced the change in time".to_string();
+            let why = if w.rev <= synced {
+                "synced, but most members do not obey it yet"
+            } else {
+                "no majority synced the change in time"
+            };
+            let why = why.to_string();
             tell(w.op, Done::Unknown { why }, out);
             return false;
         }
@@ -249,7 +256,7 @@
 /// An owner that has been dismissed: what it had not proved is unknown.
 pub fn dismiss(_p: &Part, old: Owner, out: &mut Vec<Command>) {
     for w in old.waits {
-        let done = if w.rev <= old.done {
+        let done = if w.rev <= old.done.min(old.obeyed) {
             let copies = MAJORITY as u32;
             Done::Accepted { revision: w.rev, copies, again: w.again }
         } else {
--- a/crates/grebe/src/state/part.rs
+++ b/crates/grebe/src/state/part.rs
@@ -96,6 +96,10 @@
     pub rounds: VecDeque<(u64, Tick, u64)>,
     /// The last round each seat answered, and when that round began.
     pub answered: [(u64, Tick); SEATS],
+    /// Revision that most members obey; a change counts as accepted only up to
+    /// here. Then any majority of members that is cut off from us together
+    /// holds it too, and its members hand it on to each other.
+    pub obeyed: u64,
     pub waits: Vec<Waiting>,
     pub reads: Vec<Reading>,
     /// Leafs that the list no longer names, since when.
--- a/crates/grebe/src/state/step.rs
+++ b/crates/grebe/src/state/step.rs
@@ -42,6 +42,7 @@
         Event::Stop => claim::stop(core, now, &mut out),
         Event::Wake => wake(core, now, &mut out),
     }
+    members::obeyed(core, now, &mut out);
     // Outcomes for our own operators pass through the one place that knows
     // whether to try again.
     let mut i = 0;
