Deal warm leafs' allowances out evenly; spare rested leafs second tries

Remainders of an allowance fell on threads by hash, so some had no place at any leaf of a shard. Change: places of warm leafs are dealt out in turn over a service; fresh leafs keep the rank that depends on no other leaf. Change: rested leafs get first tries only. Ruled out: a larger buffer, which only turned bounces into late answers.

--- a/crates/grebe/src/query/choose.rs
+++ b/crates/grebe/src/query/choose.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::leaf::{Leaf, bears, load};
+use super::leaf::{Leaf, bears, load, warm};
 use super::share::{Share, part};
 use crate::config::build::{Mapping, PoolPlan};
 use crate::luck::{Luck, below};
@@ -31,8 +31,9 @@
 }
 
 /// Chooses a leaf for one shard of a pinned mapping: the less loaded of two,
-/// the local zone first if the plan prefers it, rested leafs only when no
-/// other stands, never one in `tried`.
+/// the local zone first if the plan prefers it, never one in `tried`. Rested
+/// leafs serve only when no other stands, and then for first tries alone: if
+/// most of a pool looks bad it is used with care, but not beaten.
 pub fn choose(s: &Scene, luck: &mut Luck, map: &Mapping, shard: usize, tried: &[String]) -> Choice {
     let mut fit: Vec<(&Arc<LeafInfo>, u64, bool, bool)> = Vec::new();
     let mut stand = false;
@@ -58,7 +59,11 @@
     if fit.is_empty() {
         return if stand { Choice::Full } else { Choice::None };
     }
+    let first = tried.is_empty();
     for (rested, near) in [(false, true), (false, false), (true, true), (true, false)] {
+        if rested && !first {
+            break;
+        }
         let set: Vec<_> = fit.iter().filter(|f| f.2 == rested && f.3 == near).collect();
         if set.is_empty() {
             continue;
@@ -72,5 +77,6 @@
 
 /// Dispatches that we may have in hand at a leaf.
 pub fn room(s: &Scene, leaf: &Leaf, pool: &PoolPlan) -> u64 {
-    part(s.share, leaf.rank, bears(leaf, pool.bears, pool.ramp, s.now))
+    let rank = if warm(leaf, pool.ramp, s.now) { leaf.dealt } else { leaf.rank };
+    part(s.share, rank, bears(leaf, pool.bears, pool.ramp, s.now))
 }
--- a/crates/grebe/src/query/leaf.rs
+++ b/crates/grebe/src/query/leaf.rs
@@ -23,8 +23,13 @@
     pub typical: Span,
     pub row: u32,
     pub rest_until: Tick,
-    /// Our rank among all threads for this leaf, under the current share.
+    /// Our rank among all threads for this leaf alone, under the current
+    /// share: it depends on no other leaf, so views that differ in their lists
+    /// of leafs still add up to the whole. Used while the leaf is fresh.
     pub rank: Option<u64>,
+    /// Our rank when the service's leafs are dealt out in turn, which gives
+    /// every thread nearly the same number of places. Used for warm leafs.
+    pub dealt: Option<u64>,
 }
 
 /// A leaf that we hear of for the first time.
@@ -40,6 +45,7 @@
         row: 0,
         rest_until: 0,
         rank: None,
+        dealt: None,
     }
 }
 
@@ -54,6 +60,11 @@
     (full * (floor * ramp + (100 - floor) * age) / (100 * ramp)).max(1)
 }
 
+/// Whether the leaf is past its ramp.
+pub fn warm(leaf: &Leaf, ramp: Span, now: Tick) -> bool {
+    since(leaf.born, now) >= ramp
+}
+
 /// Notes what the leaf says of itself.
 pub fn word(leaf: &mut Leaf, word: &SelfWord, now: Tick) {
     if let Some(busy) = word.busy {
--- a/crates/grebe/src/query/share.rs
+++ b/crates/grebe/src/query/share.rs
@@ -38,6 +38,25 @@
     Some(share.slots.iter().filter(|s| pair(thing, **s) < mine).count() as u64)
 }
 
+/// Our rank for each of a row of things that are dealt out in turn: where one
+/// thing's remainder ends the next one's begins. `first` says where the row
+/// begins, `totals` what each thing has.
+pub fn deal(share: &Share, first: u64, totals: &[u64]) -> Vec<Option<u64>> {
+    let Ok(mine) = share.slots.binary_search(&share.mine) else {
+        return vec![None; totals.len()];
+    };
+    let n = share.slots.len() as u64;
+    let mut from = first % n;
+    totals
+        .iter()
+        .map(|total| {
+            let rank = (mine as u64 + n - from) % n;
+            from = (from + total % n) % n;
+            Some(rank)
+        })
+        .collect()
+}
+
 /// Our part of `total`. Over all threads of one cohort the parts add up to
 /// exactly `total`.
 pub fn part(share: &Share, rank: Option<u64>, total: u64) -> u64 {
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -35,6 +35,7 @@
             }
             d.leafs.retain(|name, l| l.live > 0 || view.leafs.contains_key(name));
             d.view = view;
+            deal(d);
             if d.door == Door::Shut {
                 d.door = Door::Open;
             }
@@ -45,6 +46,7 @@
             for leaf in d.leafs.values_mut() {
                 leaf.rank = share::rank(&d.share, leaf.thing);
             }
+            deal(d);
             let rank = share::rank(&d.share, hash("retry-slack"));
             rule::slack(&mut d.rule, share::part(&d.share, rank, consts::RETRY_SLACK));
             sweep(d, now, &mut out);
@@ -63,6 +65,23 @@
     out
 }
 
+/// Deals the leafs of each service out to the threads of the cohort.
+fn deal(d: &mut Desk) {
+    let view = d.view.clone();
+    for map in view.mappings.values() {
+        for pool in map.shards.iter().flat_map(|s| &s.pools) {
+            let Some(list) = view.services.get(&pool.service) else { continue };
+            let totals = vec![u64::from(pool.bears); list.len()];
+            let ranks = share::deal(&d.share, hash(&pool.service), &totals);
+            for (info, rank) in list.iter().zip(ranks) {
+                if let Some(l) = d.leafs.get_mut(&info.leaf) {
+                    l.dealt = rank;
+                }
+            }
+        }
+    }
+}
+
 /// When `step` wants to be woken next.
 pub fn next(d: &Desk) -> Option<Tick> {
     d.queries.values().map(due).min()
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -288,9 +288,8 @@
         }
         "stop-querier" => {
             world::stop_querier(w, which);
+            // It drains, ends, and is started again.
             if let Some(span) = lasts {
-                // It drains, ends, and is started again.
-                w.queriers[which].paused = 0;
                 world::later(w, span, DueKey::StartQuerier(which));
             }
         }
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -91,6 +91,8 @@
 pub enum DueKey {
     StartSeat(usize),
     StartQuerier(usize),
+    /// A querier that is asked to stop ends once nothing is in hand.
+    EndQuerier(usize, u64),
     Storm { left: u64, gap: Span },
 }
 
@@ -692,8 +694,7 @@
                 push(w, 20, Hap::ToDesk { q, life, t, event: desk::Event::Door(door) });
             }
             if door == Door::Stopping {
-                // Everything in hand ends within the longest budget.
-                push(w, ms(300), Hap::ToWatch { q, life, event: wat::Event::Drained });
+                later(w, ms(20), DueKey::EndQuerier(q, life));
             }
         }
         wat::Command::Grip(until) => {
@@ -871,6 +872,9 @@
     // Whatever becomes of it, the sender gives up at the end of its budget.
     let event = desk::Event::Reply { dispatch: sending.dispatch, got: Err(Trouble::OutOfTime) };
     push(w, sending.budget, Hap::ToDesk { q, life, t, event });
+    // Giving up closes the connection, which the leaf sees a moment later.
+    let key = (q, life, t, sending.dispatch);
+    push(w, sending.budget + ms(1), Hap::LeafDrop { key });
     let zone = w.queriers[q].zone.clone();
     let leaf_zone = w.backs.leafs.get(&sending.leaf).map_or("a".into(), |l| l.zone.clone());
     let after = latency(&zone, &leaf_zone, &mut w.luck) + w.net.slow;
@@ -1164,6 +1168,13 @@
     match key {
         DueKey::StartSeat(s) if !w.seats[s].up => start_seat(w, s),
         DueKey::StartQuerier(q) if !w.queriers[q].up => start_querier(w, q),
+        DueKey::EndQuerier(q, life) if live(w, q, life) => {
+            if w.queriers[q].desks.iter().any(|d| !d.queries.is_empty()) {
+                return later(w, ms(20), key);
+            }
+            step_watch(w, q, wat::Event::Drained);
+            kill_querier(w, q);
+        }
         DueKey::Storm { left, gap } => {
             let n = w.orders.len();
             order(w, 0, marked(n));
