--- /dev/null
+++ b/crates/sim/tests/scenarios.rs
@@ -0,0 +1,113 @@
+//! Every scenario of the repository, at a part of its load, without a
+//! violation; and what each is there to show.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use grebe::time::SECOND;
+use sim::scenario::{play, read};
+use sim::world::{self, World};
+
+/// Part of each scenario's load that is played in the tests.
+const PART: f64 = 0.12;
+
+fn all() -> BTreeMap<String, World> {
+    let dir = format!("{}/../../scenarios", env!("CARGO_MANIFEST_DIR"));
+    let mut names: Vec<String> = std::fs::read_dir(&dir)
+        .unwrap()
+        .map(|e| e.unwrap().file_name().into_string().unwrap())
+        .filter(|n| n.ends_with(".json"))
+        .collect();
+    names.sort();
+    let threads: Vec<_> = (0..8)
+        .map(|t| {
+            let (names, dir) = (names.clone(), dir.clone());
+            std::thread::spawn(move || {
+                let mine = names.iter().enumerate().filter(|(i, _)| i % 8 == t);
+                mine.map(|(_, n)| one(&dir, n)).collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
+}
+
+fn one(dir: &str, name: &str) -> (String, World) {
+    let text = std::fs::read(format!("{dir}/{name}")).unwrap();
+    let mut s = match read(&text, &common::load) {
+        Ok(s) => s,
+        Err(all) => panic!("{name}: {}", grebe::lang::finding::lines(&all)),
+    };
+    // An overload must stay one.
+    if !name.starts_with("overload") {
+        s.factor *= PART;
+    }
+    let mut w = play(&s, 3, None);
+    if !["two-disks-lost"].contains(&s.name.as_str()) {
+        let settled = world::until(&mut w, 20 * SECOND, world::settled);
+        assert!(settled, "{name}: the fleet is not whole 20 s after the last trouble");
+    }
+    (name.trim_end_matches(".json").to_string(), w)
+}
+
+fn share(w: &World, kind: &str) -> (u64, u64, u64) {
+    let t = &w.tally[kind];
+    let all = t.full + t.partial + t.bounced.values().sum::<u64>() + t.unreachable + t.late;
+    (t.full, t.partial, all)
+}
+
+#[test]
+fn no_scenario_breaks_a_promise() {
+    let worlds = all();
+    for (name, w) in &worlds {
+        let found: Vec<_> = w.rules.found.iter().map(|v| &v.text).collect();
+        assert!(found.is_empty(), "{name}: {found:?}");
+    }
+    let get = |name: &str| &worlds[name];
+    // Nothing is lost when nothing happens, when the core is gone, or when
+    // one leaf of a shard is dark or gone.
+    for name in ["calm", "core-gone", "leaf-dark", "leaf-vanish", "rolling", "disks", "recut"] {
+        let (full, _, all) = share(get(name), "browse");
+        assert!(full * 1000 >= all * 995, "{name}: {full} of {all} are full");
+    }
+    // A shard that is down costs that shard, not the answer.
+    let (full, partial, all) = share(get("shard-down"), "browse");
+    assert!(partial > 0 && (full + partial) * 1000 >= all * 995, "{full} {partial} {all}");
+    // Under five times the load goodput stays near capacity and the urgent
+    // class is served throughout.
+    let (full, _, all) = share(get("overload"), "alert");
+    assert!(full * 100 >= all * 99, "alerts: {full} of {all}");
+    let (full, partial, all) = share(get("overload"), "browse");
+    assert!((full + partial) * 2 >= all, "browse: {full} {partial} of {all}");
+    // Two disks lost: said aloud, and queries served on.
+    let two = get("two-disks-lost");
+    assert!(two.alarms.keys().any(|a| a.contains("two disks are lost")), "{:?}", two.alarms);
+    let (full, _, all) = share(two, "browse");
+    assert!(full * 100 >= all * 99, "{full} of {all}");
+    // A zone with a shard's last leafs is emptied all the same.
+    let (full, partial, all) = share(get("last-leafs-drained"), "browse");
+    assert!(partial > 0 && (full + partial) * 100 >= all * 99, "{full} {partial} of {all}");
+}
+
+#[test]
+fn a_seed_replays_exactly() {
+    let dir = format!("{}/../../scenarios", env!("CARGO_MANIFEST_DIR"));
+    let print = |w: &World| sim::report::json(w).to_string();
+    let (one_, two) = (one(&dir, "rough.json").1, one(&dir, "rough.json").1);
+    assert_eq!(print(&one_), print(&two));
+}
+
+#[test]
+fn wrong_scenarios_are_found_out_with_their_places() {
+    let text = r#"{"seconds": 0, "queriers": 7, "speed": 2, "troubles": [
+        {"at_s": 1, "do": "explode"}, {"do": "heal"},
+        {"at_s": 2, "do": "kill-seat", "which": 3}, {"at_s": 2, "do": "heal", "ms": 3},
+        {"at_s": 3, "do": "cut", "a": ["q9"], "b": ["all"]}]}"#;
+    let all = read(text.as_bytes(), &common::load).err().unwrap();
+    let places: Vec<&str> = all.iter().map(|f| f.place.as_str()).collect();
+    for want in ["seconds", "speed", "troubles[0].do", "troubles[1].at_s", "troubles[2].which",
+        "troubles[3].ms", "troubles[4].a"]
+    {
+        assert!(places.contains(&want), "{want} is not among {places:?}");
+    }
+}
