--- /dev/null
+++ b/crates/grebe/tests/disk.rs
@@ -0,0 +1,117 @@
+//! The form on disk under torn writes and flipped bits: what is read is the
+//! truth, a prefix whose tail was never acknowledged, or reported damage.
+
+use googletest::prelude::*;
+use grebe::disk::read::{Found, read};
+use grebe::disk::rec::{Copy, Rec, apply};
+use grebe::disk::write;
+
+const PART: u32 = 3;
+
+fn change(rev: u64) -> Rec {
+    let entries = vec![
+        (format!("key-{}", rev % 3), Some(vec![rev as u8, 0, 7])),
+        (format!("old-{rev}"), None),
+    ];
+    Rec::Change { epoch: 4, rev, entries }
+}
+
+/// Two slots and a log as a life leaves them: slot 2 is the newest, and the
+/// log holds a few records after it. Also the copy at each record's end.
+fn files() -> ([Vec<u8>; 2], Vec<u8>, Vec<(usize, Copy)>) {
+    let mut copy = Copy { promised: 4, epoch: 4, rev: 10, ..Copy::default() };
+    let older = write::slot(PART, 1, &copy);
+    assert!(apply(&mut copy, &change(11)));
+    let newer = write::slot(PART, 2, &copy);
+    let mut log = write::log_head(PART, 2);
+    let mut at = vec![(log.len(), copy.clone())];
+    let recs = [change(12), Rec::Promise { epoch: 7 }, change(13)];
+    for (i, rec) in recs.iter().enumerate() {
+        assert!(apply(&mut copy, rec));
+        log.extend(write::rec(2, i as u32, rec));
+        at.push((log.len(), copy.clone()));
+    }
+    ([newer, older], log, at)
+}
+
+fn found(slots: &[Vec<u8>; 2], log: &[u8]) -> Found {
+    read(PART, [Some(&slots[0]), Some(&slots[1])], Some(log))
+}
+
+#[googletest::test]
+fn a_torn_log_is_its_whole_records() {
+    let (slots, log, at) = files();
+    for cut in at[0].0..=log.len() {
+        for zeros in [0, 9, 200] {
+            let mut torn = log[..cut].to_vec();
+            torn.extend(vec![0u8; zeros]);
+            let whole = at.iter().rev().find(|(end, _)| *end <= cut).unwrap();
+            match found(&slots, &torn) {
+                Found::Good { copy, .. } => assert_eq!(copy, whole.1, "cut {cut}, {zeros} zeros"),
+                other => panic!("cut {cut}, {zeros} zeros: {other:?}"),
+            }
+        }
+    }
+}
+
+#[googletest::test]
+fn no_flipped_bit_is_read_as_truth() {
+    let (slots, log, at) = files();
+    let truth = &at.last().unwrap().1;
+    let mut damaged = 0;
+    for i in 0..log.len() * 8 {
+        let mut bad = log.clone();
+        bad[i / 8] ^= 1 << (i % 8);
+        match found(&slots, &bad) {
+            Found::Damaged(_) => damaged += 1,
+            Found::Good { copy, .. } => assert_eq!(&copy, truth, "bit {i} of the log"),
+            Found::Empty => panic!("bit {i} of the log makes the disk look empty"),
+        }
+    }
+    for (slot, name) in [(0, "newest"), (1, "older")] {
+        for i in 0..slots[slot].len() * 8 {
+            let mut bad = slots.clone();
+            bad[slot][i / 8] ^= 1 << (i % 8);
+            match found(&bad, &log) {
+                Found::Damaged(_) => damaged += 1,
+                Found::Good { copy, .. } => assert_eq!(&copy, truth, "bit {i} of the {name} slot"),
+                Found::Empty => panic!("bit {i} of the {name} slot makes the disk look empty"),
+            }
+        }
+    }
+    expect_that!(damaged, gt(log.len() * 7));
+}
+
+#[googletest::test]
+fn a_slot_write_that_never_ended_loses_nothing() {
+    let (slots, log, at) = files();
+    let truth = at.last().unwrap().1.clone();
+    let next = write::slot(PART, 3, &truth);
+    // Slot 3 goes where slot 1 is; the log is still that of slot 2.
+    for cut in 0..next.len() {
+        let torn = [slots[0].clone(), next[..cut].to_vec()];
+        match found(&torn, &log) {
+            Found::Good { copy, .. } => assert_eq!(copy, truth, "cut {cut}"),
+            other => panic!("cut {cut}: {other:?}"),
+        }
+    }
+    match found(&[slots[0].clone(), next], &log) {
+        Found::Good { copy, seq, .. } => expect_that!((copy, seq), eq(&(truth, 3))),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[googletest::test]
+fn other_versions_and_other_parts_are_reported() {
+    let (mut slots, log, _) = files();
+    expect_that!(
+        read(PART + 1, [Some(&slots[0]), None], Some(&log)),
+        matches_pattern!(Found::Damaged(anything()))
+    );
+    slots[0][6] += 1;
+    match found(&slots, &log) {
+        Found::Damaged(why) => expect_that!(why, contains_substring("version 2")),
+        other => panic!("{other:?}"),
+    }
+    expect_that!(read(PART, [None, None], None), eq(&Found::Empty));
+}
