--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -206,5 +206,7 @@
 pub const DRAIN_NOTICE: Span = ms(1_500);
 /// Longest time a stopping process waits for its last queries.
 pub const DRAIN_MAX: Span = 12 * SECOND;
+/// Operators' requests that a controller has in hand at once (count).
+pub const OPERATORS_AT_ONCE: usize = 32;
 /// Largest operator request (bytes).
 pub const CONFIG_LIMIT: usize = 32 * 1024 * 1024;
--- a/crates/programs/src/controller/door.rs
+++ b/crates/programs/src/controller/door.rs
@@ -2,6 +2,7 @@
 
 use axum::Router;
 use axum::body::Bytes;
+use axum::error_handling::HandleErrorLayer;
 use axum::extract::{DefaultBodyLimit, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
@@ -14,6 +15,7 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
+use tower::ServiceBuilder;
 use tracing::error;
 
 use crate::owner::Input;
@@ -38,6 +40,16 @@
         .route("/metrics", get(metrics))
         .route("/livez", get(async || "ok\n"))
         .layer(DefaultBodyLimit::max(consts::CONFIG_LIMIT))
+        // Large requests are few: more than this at once are turned away
+        // rather than held in memory.
+        .layer(
+            ServiceBuilder::new()
+                .layer(HandleErrorLayer::new(async |_: tower::BoxError| {
+                    answer(503, &json!({ "error": "not-applied", "text": "too many requests" }))
+                }))
+                .load_shed()
+                .concurrency_limit(consts::OPERATORS_AT_ONCE),
+        )
         .with_state(owner);
     let until = async move {
         let _ = stop.wait_for(|s| *s).await;
--- a/crates/programs/src/controller/main.rs
+++ b/crates/programs/src/controller/main.rs
@@ -57,7 +57,7 @@
     }
     // All params are good and the disk was read: now ports are opened.
     let inner = std::net::TcpListener::bind(p.inner)?;
-    let door = runtime::http::listen(p.listen)?;
+    let door = runtime::http::listen(p.listen, 1)?.remove(0);
     println!("controller {} inner {} door {}", p.seat, inner.local_addr()?, door.local_addr()?);
     let clock = runtime::clock::clock();
     let (disk_tx, disk_rx) = mpsc::channel();
--- a/crates/programs/src/controller/metrics.rs
+++ b/crates/programs/src/controller/metrics.rs
@@ -1,10 +1,14 @@
 //! What a controller says of itself: for `status` and for Prometheus.
 
 use std::fmt::Write;
+use std::sync::Arc;
 
+use grebe::config::{build, change};
 use grebe::state::core::Core;
+use grebe::state::leafs;
 use grebe::state::part::{Part, Role};
 use grebe::time::{MILLI, Tick, since};
+use grebe::view::whole::{open, view};
 use grebe::wire::msg::Life;
 use serde_json::{Value, json};
 
@@ -44,7 +48,32 @@
             })
         })
         .collect();
-    json!({ "seat": core.seat, "zone": zone, "parts": parts })
+    json!({ "seat": core.seat, "zone": zone, "parts": parts, "uncovered": uncovered(core) })
+}
+
+/// Shards that have no leaf which may get new work, by what this seat knows:
+/// a zone may hold the last ones of a shard when it is emptied.
+fn uncovered(core: &Core) -> Vec<Value> {
+    let config = &core.parts[0];
+    let Ok(conf) = change::config(&config.shown) else { return Vec::new() };
+    let Ok(built) = build::build(&conf) else { return Vec::new() };
+    let list = core.parts[1..].iter().flat_map(|p| leafs::all(&p.shown).into_values()).collect();
+    let view = view(config.shown_rev, Arc::new(built), list);
+    let mut out = Vec::new();
+    for map in view.mappings.values() {
+        let bare: Vec<&str> = map
+            .shards
+            .iter()
+            .filter(|s| s.pools.iter().all(|p| open(&view, p, &map.cut).next().is_none()))
+            .map(|s| s.name.as_str())
+            .collect();
+        if !bare.is_empty() {
+            let have = map.shards.len() - bare.len();
+            let serves = have >= build::needed(map.quorum, map.shards.len());
+            out.push(json!({ "search": map.name, "shards": bare, "serves": serves }));
+        }
+    }
+    out
 }
 
 /// Prometheus text.
--- a/crates/programs/src/grebectl/show.rs
+++ b/crates/programs/src/grebectl/show.rs
@@ -117,6 +117,16 @@
             }
         }
     }
+    let here = seats.iter().find_map(|(_, v)| v.as_ref().ok());
+    for u in here.map_or(&[][..], |v| list(&v["here"]["uncovered"])) {
+        let shards: Vec<String> = list(&u["shards"]).iter().map(text).collect();
+        out += &format!(
+            "search {}: no leaf may be asked for shard(s) {}; {}\n",
+            text(&u["search"]),
+            shards.join(", "),
+            if u["serves"] == true { "answers without them" } else { "BELOW QUORUM" }
+        );
+    }
     let cohort = seats.iter().find_map(|(_, v)| match v {
         Ok(v) if !v["cohort"].is_null() => Some(&v["cohort"]),
         _ => None,
--- a/crates/programs/src/querier/main.rs
+++ b/crates/programs/src/querier/main.rs
@@ -21,12 +21,8 @@
 
 fn run(p: params::Params) -> Result<(), std::io::Error> {
     // One listener for each traffic thread, all on one address.
-    let first = runtime::http::listen(p.listen)?;
-    let addr = first.local_addr()?;
-    let mut listeners = vec![first];
-    for _ in 1..p.threads {
-        listeners.push(runtime::http::listen(addr)?);
-    }
+    let listeners = runtime::http::listen(p.listen, p.threads)?;
+    let addr = listeners[0].local_addr()?;
     let inner = std::net::TcpListener::bind(p.inner)?;
     println!("querier {} inner {} door {addr}", p.name, inner.local_addr()?);
     let clock = runtime::clock::clock();
--- a/crates/programs/tests/fleet.rs
+++ b/crates/programs/tests/fleet.rs
@@ -162,6 +162,35 @@
     let (code, out) = ctl(f, &["status"]);
     expect_that!(code, eq(0));
     expect_that!(out, contains_substring("q2"));
+    // Emptying every zone leaves no leafs, and status says so.
+    for zone in ["a", "b", "c"] {
+        expect_that!(ctl(f, &["--wait", "10", "drain", zone]).0, eq(0));
+    }
+    // The other seats show it a beat after the owner.
+    let want = "no leaf may be asked for shard(s) 0, 1, 2, 3; BELOW QUORUM";
+    let said = || async { ctl(f, &["status"]).1.contains(want) };
+    assert!(fleet::until(LONG, said).await, "{}", ctl(f, &["status"]).1);
+    let (code, val) = search(f, 0, "fleet", json!({ "question": "q" }), "900").await;
+    expect_that!((code, val["error"].as_str()), eq((503, Some("no-leafs"))));
+    large(f, dir).await;
+}
+
+/// A configuration of several MiB passes through every part of the path.
+async fn large(f: &Fleet, dir: &std::path::Path) {
+    let (_, out) = ctl(f, &["--output", "json", "get"]);
+    let mut conf = serde_json::from_str::<Value>(&out).unwrap()["config"].clone();
+    let pools = conf["pools"].as_array_mut().unwrap();
+    for i in 0..2_000 {
+        pools.push(json!({ "name": format!("spare-{i}"), "service": format!("spare-{i}"),
+                           "labels": { "note": "x".repeat(2_000) } }));
+    }
+    let file = dir.join("large.json");
+    std::fs::write(&file, conf.to_string()).unwrap();
+    let (code, out) = ctl(f, &["--wait", "15", "apply", file.to_str().unwrap()]);
+    expect_that!(code, eq(0), "{out}");
+    expect_that!(out, contains_substring("obeyed by all 3 members"));
+    let (code, out) = ctl(f, &["diff", file.to_str().unwrap()]);
+    expect_that!((code, out.as_str()), eq((0, "")));
 }
 
 /// Sends light traffic for as long as `body` takes, then checks every answer
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -78,12 +78,27 @@
     text
 }
 
-/// Opens a port that several threads may listen on.
-pub fn listen(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+/// Opens `n` listeners on one address, one for each thread.
+pub fn listen(addr: SocketAddr, n: u32) -> std::io::Result<Vec<std::net::TcpListener>> {
+    if n == 1 {
+        return Ok(vec![one(addr, false)?]);
+    }
+    // A shared port would hide that another process has it: look first.
+    drop(one(addr, false)?);
+    let first = one(addr, true)?;
+    let addr = first.local_addr()?;
+    let mut out = vec![first];
+    for _ in 1..n {
+        out.push(one(addr, true)?);
+    }
+    Ok(out)
+}
+
+fn one(addr: SocketAddr, share: bool) -> std::io::Result<std::net::TcpListener> {
     use socket2::{Domain, Protocol, Socket, Type};
     let sock = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     sock.set_reuse_address(true)?;
-    sock.set_reuse_port(true)?;
+    sock.set_reuse_port(share)?;
     sock.set_nonblocking(true)?;
     sock.bind(&addr.into())?;
     sock.listen(1024)?;
