--- a/crates/grebe/src/cohort/news.rs
+++ b/crates/grebe/src/cohort/news.rs
@@ -78,9 +78,9 @@
         return;
     }
     let peer = since(w.began, now) > consts::START_PATIENCE
-        && w.peers.values().any(|p| {
-            p.ready && p.places.iter().all(|pl| pl.rev <= ours(w, pl.part))
-        });
+        && w.peers
+            .values()
+            .any(|p| p.ready && p.places.iter().all(|pl| pl.rev <= ours(w, pl.part)));
     w.sure = peer || parts().all(|part| ours(w, part) >= least(w, part));
 }
 
--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -167,7 +167,12 @@
 }
 
 /// Takes in what a member says of itself.
-pub fn spoke(w: &mut Watch, echo: Tick, name: &str, peer: (u64, bool, Vec<crate::wire::msg::Place>)) {
+pub fn spoke(
+    w: &mut Watch,
+    echo: Tick,
+    name: &str,
+    peer: (u64, bool, Vec<crate::wire::msg::Place>),
+) {
     let (age_ms, ready, places) = peer;
     if w.peers.get(name).is_none_or(|p| p.at <= echo) {
         let peer = Peer { at: echo, core_age: ms(age_ms), places, ready };
@@ -183,8 +188,7 @@
     let fresh = |p: &Peer| p.core_age + since(p.at, now) < consts::TENURE_WORRY;
     let passed = age >= consts::TENURE_WORRY && heard(w, now).any(|(_, p)| fresh(p));
     w.passed_by = if passed { w.passed_by.or(Some(now)) } else { None };
-    let others_have =
-        w.passed_by.is_some_and(|at| since(at, now) >= 2 * consts::TENURE_BEAT);
+    let others_have = w.passed_by.is_some_and(|at| since(at, now) >= 2 * consts::TENURE_BEAT);
     // Company whose configuration is ahead of ours can't vouch for our view.
     let ahead = heard(w, now)
         .any(|(_, p)| p.places.iter().any(|pl| pl.part == CONFIG && pl.rev > w.built_rev));
@@ -233,7 +237,9 @@
     if door != w.door {
         if door == Door::CutOff {
             w.counts.lapses += 1;
-            out.push(Command::Alarm("cut off: no word from the core, nor from most of the cohort".into()));
+            out.push(Command::Alarm(
+                "cut off: no word from the core, nor from most of the cohort".into(),
+            ));
         }
         w.door = door;
         out.push(Command::Door(door));
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -58,17 +58,15 @@
 /// What may come from a seat as well as from a member.
 fn any(w: &mut Watch, msg: Msg, member: bool, out: &mut Vec<Command>) {
     match msg {
-        Msg::News { part, from, rev, entries } => {
-            if news::take(w, part, from, rev, &entries, out) && member {
-                w.counts.news_from_members += 1;
-            }
+        Msg::News { part, from, rev, entries }
+            if news::take(w, part, from, rev, &entries, out) && member =>
+        {
+            w.counts.news_from_members += 1;
         }
-        Msg::Tell(cohort) => {
-            if newer(&cohort, &w.cohort) {
-                w.cohort = cohort;
-                // What we saw lets others settle: say so at once.
-                w.tenure.renew_at = 0;
-            }
+        Msg::Tell(cohort) if newer(&cohort, &w.cohort) => {
+            w.cohort = cohort;
+            // What we saw lets others settle: say so at once.
+            w.tenure.renew_at = 0;
         }
         _ => {}
     }
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -116,10 +116,19 @@
 
 /// What happens to a querier's control thread.
 pub enum Event {
-    FromSeat { seat: Seat, msg: Msg },
-    FromMember { name: String, msg: Msg },
+    FromSeat {
+        seat: Seat,
+        msg: Msg,
+    },
+    FromMember {
+        name: String,
+        msg: Msg,
+    },
     /// A leaf spoke of itself, to a thread or to a probe.
-    Word { service: String, word: Word },
+    Word {
+        service: String,
+        word: Word,
+    },
     /// A poll of the list has ended.
     List(Result<Vec<LeafInfo>, String>),
     Stop,
@@ -130,8 +139,15 @@
 
 /// What it wants done.
 pub enum Command {
-    ToSeat { seat: Seat, msg: Msg },
-    ToMember { name: String, addr: String, msg: Msg },
+    ToSeat {
+        seat: Seat,
+        msg: Msg,
+    },
+    ToMember {
+        name: String,
+        addr: String,
+        msg: Msg,
+    },
     View(Arc<View>),
     /// The members whose threads share the fleet's limits, with theirs;
     /// empty while we have no share.
--- a/crates/grebe/src/config/read.rs
+++ b/crates/grebe/src/config/read.rs
@@ -180,8 +180,7 @@
             Class::Ordinary
         }
     };
-    let promise_ms =
-        number(o, "promise_ms", consts::BUDGET_MIN_MS, consts::BUDGET_MAX_MS, None);
+    let promise_ms = number(o, "promise_ms", consts::BUDGET_MIN_MS, consts::BUDGET_MAX_MS, None);
     let attempts = number(o, "attempts", 1, 10, Some(3)) as u32;
     o.seen.push("quorum");
     let quorum = match o.map.get("quorum").map(Value::as_f64) {
--- a/crates/grebe/src/disk/read.rs
+++ b/crates/grebe/src/disk/read.rs
@@ -13,7 +13,13 @@
     Empty,
     /// Can't be trusted; the text says why.
     Damaged(String),
-    Good { copy: Copy, seq: u64, records: u32, log_len: u64, torn: bool },
+    Good {
+        copy: Copy,
+        seq: u64,
+        records: u32,
+        log_len: u64,
+        torn: bool,
+    },
 }
 
 /// Why a slot is not used.
@@ -114,9 +120,7 @@
     };
     match log_seq {
         // The slot is newer than the log: the log's records are within it.
-        Some(n) if n < seq => {
-            Found::Good { copy, seq, records: 0, log_len: 0, torn: false }
-        }
+        Some(n) if n < seq => Found::Good { copy, seq, records: 0, log_len: 0, torn: false },
         Some(n) if n > seq => {
             Found::Damaged(format!("the log follows slot {n}, the newest that stands is {seq}"))
         }
@@ -129,13 +133,9 @@
             let raw = log.unwrap_or_default();
             match records(seq, &raw[LOG_HEAD..], &mut copy) {
                 Err(why) => Found::Damaged(why),
-                Ok((records, len, torn)) => Found::Good {
-                    copy,
-                    seq,
-                    records,
-                    log_len: (LOG_HEAD + len) as u64,
-                    torn,
-                },
+                Ok((records, len, torn)) => {
+                    Found::Good { copy, seq, records, log_len: (LOG_HEAD + len) as u64, torn }
+                }
             }
         }
     }
--- a/crates/grebe/src/names.rs
+++ b/crates/grebe/src/names.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 
 /// Which part of the state: 0 is the configuration, the others hold services.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, nanoserde::DeBin, nanoserde::SerBin)]
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, nanoserde::DeBin, nanoserde::SerBin,
+)]
 pub struct PartId(pub u32);
 
 /// The part that holds the operators' configuration.
--- a/crates/grebe/src/query/desk.rs
+++ b/crates/grebe/src/query/desk.rs
@@ -112,11 +112,19 @@
 
 /// What happens to a desk.
 pub enum Event {
-    Ask { call: u64, ask: Ask },
+    Ask {
+        call: u64,
+        ask: Ask,
+    },
     /// A dispatch has ended.
-    Reply { dispatch: u64, got: Result<Raw, Trouble> },
+    Reply {
+        dispatch: u64,
+        got: Result<Raw, Trouble>,
+    },
     /// The caller went away.
-    Gone { call: u64 },
+    Gone {
+        call: u64,
+    },
     View(Arc<View>),
     Share(Share),
     Door(Door),
@@ -129,10 +137,18 @@
 pub enum Command {
     Send(Sending),
     /// Give up a dispatch; no reply event may follow.
-    Drop { dispatch: u64 },
-    Tell { call: u64, outcome: Outcome },
+    Drop {
+        dispatch: u64,
+    },
+    Tell {
+        call: u64,
+        outcome: Outcome,
+    },
     /// A leaf's word about itself that the fleet should hear.
-    Word { service: String, word: Word },
+    Word {
+        service: String,
+        word: Word,
+    },
 }
 
 /// A dispatch to be sent.
--- a/crates/grebe/src/query/merge.rs
+++ b/crates/grebe/src/query/merge.rs
@@ -6,10 +6,7 @@
 
 /// Best first: higher score, then the smaller id, then the smaller shard.
 pub fn order(a: &Record, b: &Record) -> Ordering {
-    b.score
-        .total_cmp(&a.score)
-        .then_with(|| a.id.cmp(&b.id))
-        .then_with(|| a.shard.cmp(&b.shard))
+    b.score.total_cmp(&a.score).then_with(|| a.id.cmp(&b.id)).then_with(|| a.shard.cmp(&b.shard))
 }
 
 /// The best `limit` records of lists that are each in order.
--- a/crates/grebe/src/query/share.rs
+++ b/crates/grebe/src/query/share.rs
@@ -19,10 +19,8 @@
 
 /// A share among the threads of the members, given as (name, threads).
 pub fn share(members: &[(String, u32)], me: &str, thread: u32) -> Share {
-    let mut slots: Vec<u64> = members
-        .iter()
-        .flat_map(|(name, n)| (0..*n).map(|t| slot(name, t)))
-        .collect();
+    let mut slots: Vec<u64> =
+        members.iter().flat_map(|(name, n)| (0..*n).map(|t| slot(name, t))).collect();
     slots.sort_unstable();
     slots.dedup();
     Share { slots, mine: slot(me, thread) }
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -234,11 +234,8 @@
         }
     }
     let (have, need) = (count_in(&q), need(&q));
-    let open = q
-        .slots
-        .iter()
-        .filter(|s| matches!(s.state, SlotState::Wanting | SlotState::Out))
-        .count();
+    let open =
+        q.slots.iter().filter(|s| matches!(s.state, SlotState::Wanting | SlotState::Out)).count();
     let outcome = if open == 0 || now >= q.end {
         if have >= need { Ok(()) } else { Err(reason(&q, now)) }
     } else if have >= need && now >= q.stop_at {
@@ -385,13 +382,7 @@
 }
 
 /// A dispatch has ended. A late or unknown one changes nothing.
-fn reply(
-    d: &mut Desk,
-    now: Tick,
-    num: u64,
-    got: Result<Raw, Trouble>,
-    out: &mut Vec<Command>,
-) {
+fn reply(d: &mut Desk, now: Tick, num: u64, got: Result<Raw, Trouble>, out: &mut Vec<Command>) {
     let Some(sent) = d.dispatches.swap_remove(&num) else { return };
     if let Ok(raw) = &got {
         hear(d, now, &sent, raw, out);
@@ -402,23 +393,17 @@
     };
     let limit = q.limit;
     let checked = got.and_then(|raw| {
-        let want = Expect {
-            leaf: &sent.leaf,
-            query: &sent.id,
-            digest: &q.digest,
-            cut: &q.map.cut,
-            limit,
-        };
+        let want =
+            Expect { leaf: &sent.leaf, query: &sent.id, digest: &q.digest, cut: &q.map.cut, limit };
         check(&raw, &want)
     });
     // Coverage: the shard is derived, and must be the one that was planned.
     let planned = q.slots[sent.slot].shard;
-    let checked = checked.and_then(|recs| {
-        match served(&d.view, &q.map, &sent.leaf, &sent.service) {
+    let checked =
+        checked.and_then(|recs| match served(&d.view, &q.map, &sent.leaf, &sent.service) {
             Some(shard) if shard == planned => Ok(recs),
             _ => Err(Trouble::WrongService),
-        }
-    });
+        });
     free(d, &sent);
     if let Some(l) = d.leafs.get_mut(&sent.leaf) {
         match &checked {
@@ -510,13 +495,7 @@
     }
 }
 
-fn finish(
-    d: &mut Desk,
-    now: Tick,
-    mut q: Query,
-    how: Result<(), Reason>,
-    out: &mut Vec<Command>,
-) {
+fn finish(d: &mut Desk, now: Tick, mut q: Query, how: Result<(), Reason>, out: &mut Vec<Command>) {
     for i in 0..q.slots.len() {
         for num in std::mem::take(&mut q.slots[i].outs) {
             // A leaf that let the whole budget pass is slow; say so to itself.
--- a/crates/grebe/src/state/claim.rs
+++ b/crates/grebe/src/state/claim.rs
@@ -38,11 +38,9 @@
         return;
     }
     match &p.role {
-        Role::Follower { heard, .. } => {
-            if since(*heard, now) >= patience(p.id, seat, luck) {
-                let epoch = next_epoch(p.copy.promised, seat);
-                start_sounding(p, now, seat, epoch, out);
-            }
+        Role::Follower { heard, .. } if since(*heard, now) >= patience(p.id, seat, luck) => {
+            let epoch = next_epoch(p.copy.promised, seat);
+            start_sounding(p, now, seat, epoch, out);
         }
         Role::Sounding { until, .. } if now >= *until => {
             follow(p, now, None);
@@ -131,9 +129,8 @@
         return;
     }
     c.grants[usize::from(from)] = Some(at);
-    let list: Vec<(Seat, (u64, u64))> = (0..SEATS as Seat)
-        .filter_map(|s| c.grants[usize::from(s)].map(|g| (s, g)))
-        .collect();
+    let list: Vec<(Seat, (u64, u64))> =
+        (0..SEATS as Seat).filter_map(|s| c.grants[usize::from(s)].map(|g| (s, g))).collect();
     if list.len() < MAJORITY {
         return;
     }
--- a/crates/grebe/src/state/core.rs
+++ b/crates/grebe/src/state/core.rs
@@ -58,13 +58,32 @@
 
 /// What happens to a controller.
 pub enum Event {
-    FromSeat { seat: Seat, msg: Msg },
-    FromWire { wire: WireId, msg: Msg },
-    WireGone { wire: WireId },
+    FromSeat {
+        seat: Seat,
+        msg: Msg,
+    },
+    FromWire {
+        wire: WireId,
+        msg: Msg,
+    },
+    WireGone {
+        wire: WireId,
+    },
     /// Every write of the part up to this token is synced.
-    Synced { part: PartId, token: u64 },
-    DiskTrouble { part: PartId, why: String },
-    Operate { op: u64, request: String, expect: Option<u64>, deed: Deed },
+    Synced {
+        part: PartId,
+        token: u64,
+    },
+    DiskTrouble {
+        part: PartId,
+        why: String,
+    },
+    Operate {
+        op: u64,
+        request: String,
+        expect: Option<u64>,
+        deed: Deed,
+    },
     /// An operator vouches that lost copies are lost for good.
     Vouch,
     /// The process goes down: give up every part now.
@@ -74,13 +93,30 @@
 
 /// What a controller wants done.
 pub enum Command {
-    ToSeat { seat: Seat, msg: Msg },
-    ToWire { wire: WireId, msg: Msg },
+    ToSeat {
+        seat: Seat,
+        msg: Msg,
+    },
+    ToWire {
+        wire: WireId,
+        msg: Msg,
+    },
     /// Append a record to the part's log and sync it.
-    Append { part: PartId, token: u64, rec: Rec },
+    Append {
+        part: PartId,
+        token: u64,
+        rec: Rec,
+    },
     /// Write the other slot, sync it, begin a new log.
-    Slot { part: PartId, token: u64, copy: Copy },
-    Tell { op: u64, done: Done },
+    Slot {
+        part: PartId,
+        token: u64,
+        copy: Copy,
+    },
+    Tell {
+        op: u64,
+        done: Done,
+    },
     /// Something an operator must hear of.
     Alarm(String),
 }
--- a/crates/grebe/src/state/operate.rs
+++ b/crates/grebe/src/state/operate.rs
@@ -39,7 +39,10 @@
         Role::Follower { owner: Some((seat, _)), .. } => {
             ask.sent = Some(*seat);
             let (request, expect, deed) = (ask.request.clone(), ask.expect, ask.deed.clone());
-            out.push(Command::ToSeat { seat: *seat, msg: Msg::Operate { op, request, expect, deed } });
+            out.push(Command::ToSeat {
+                seat: *seat,
+                msg: Msg::Operate { op, request, expect, deed },
+            });
         }
         _ => {}
     }
@@ -96,8 +99,12 @@
             continue;
         }
         let done = match ask.sent {
-            None if !ask.maybe => Done::Bounced { why: "the configuration has no owner now".into() },
-            _ if matches!(ask.deed, Deed::Read | Deed::Status) => Done::Bounced { why: "no answer in time".into() },
+            None if !ask.maybe => {
+                Done::Bounced { why: "the configuration has no owner now".into() }
+            }
+            _ if matches!(ask.deed, Deed::Read | Deed::Status) => {
+                Done::Bounced { why: "no answer in time".into() }
+            }
             _ => Done::Unknown { why: "the owner did not answer in time".into() },
         };
         core.ops.swap_remove(&id);
@@ -178,7 +185,11 @@
     if let Some(old) = p.copy.map.get(&key).and_then(|v| remembered(v)) {
         if old.0 != mark {
             let text = "this request id was used for another request".to_string();
-            return tell(from, Done::Wrong(vec![(REQUEST.trim_end_matches('/').into(), text)]), out);
+            return tell(
+                from,
+                Done::Wrong(vec![(REQUEST.trim_end_matches('/').into(), text)]),
+                out,
+            );
         }
         owner::wait(p, now, from, old.1, true);
         return owner::settle(p, now, out);
@@ -206,8 +217,8 @@
 
 /// The entries that a request changes, or all that is wrong with it.
 fn planned(map: &Map, whole: bool, text: &[u8]) -> Result<Vec<Entry>, Vec<Finding>> {
-    let old = config(map)
-        .map_err(|text| vec![Finding { place: "stored configuration".into(), text }])?;
+    let old =
+        config(map).map_err(|text| vec![Finding { place: "stored configuration".into(), text }])?;
     let new = if whole { read::whole(text)? } else { patched(old.clone(), &read::patch(text)?) };
     build::build(&new)?;
     Ok(changes(&old, &new))
--- a/crates/grebe/src/state/owner.rs
+++ b/crates/grebe/src/state/owner.rs
@@ -82,7 +82,8 @@
         .filter(|s| {
             let s = usize::from(*s);
             // Asked for a whole copy too long ago, or never sent one at all.
-            o.kept[s].is_none() && o.whole_at[s].is_none_or(|t| since(t, now) > consts::CLAIM_PATIENCE)
+            o.kept[s].is_none()
+                && o.whole_at[s].is_none_or(|t| since(t, now) > consts::CLAIM_PATIENCE)
         })
         .collect();
     if beats {
@@ -131,8 +132,7 @@
     if o.epoch != epoch || round > o.round {
         return;
     }
-    let (at, head) =
-        o.rounds.iter().find(|r| r.0 == round).map_or((o.since, 0), |r| (r.1, r.2));
+    let (at, head) = o.rounds.iter().find(|r| r.0 == round).map_or((o.since, 0), |r| (r.1, r.2));
     let last = &mut o.answered[usize::from(from)];
     if round > last.0 {
         *last = (round, at.max(last.1));
--- a/crates/grebe/src/state/part.rs
+++ b/crates/grebe/src/state/part.rs
@@ -51,17 +51,29 @@
 pub enum After {
     Send(Seat, Msg),
     /// Our own copy holds this revision of our epoch.
-    OwnKept { epoch: u64, rev: u64 },
+    OwnKept {
+        epoch: u64,
+        rev: u64,
+    },
     /// Our own promise for a claim stands.
-    OwnPromise { epoch: u64 },
+    OwnPromise {
+        epoch: u64,
+    },
     Formed,
 }
 
 /// What a seat does in a part.
 pub enum Role {
-    Follower { heard: Tick, owner: Option<(Seat, u64)> },
+    Follower {
+        heard: Tick,
+        owner: Option<(Seat, u64)>,
+    },
     /// Asks whether a claim would be granted; changes nothing anywhere.
-    Sounding { epoch: u64, yes: [bool; SEATS], until: Tick },
+    Sounding {
+        epoch: u64,
+        yes: [bool; SEATS],
+        until: Tick,
+    },
     Claiming(Claim),
     Owner(Box<Owner>),
 }
--- a/crates/grebe/src/state/relearn.rs
+++ b/crates/grebe/src/state/relearn.rs
@@ -29,7 +29,7 @@
     let r = &mut p.relearn;
     if r.stands.iter().flatten().count() == SEATS - 1 {
         r.rounds += 1;
-        if r.rounds % LOUD_AFTER == 0 {
+        if r.rounds.is_multiple_of(LOUD_AFTER) {
             let text = format!(
                 "part {}: this replica can't relearn, since another is {}; if two disks are \
                  lost, see the handbook on restoring",
@@ -80,13 +80,8 @@
         return;
     }
     p.relearn.stands[usize::from(from)] = Some(s);
-    let all: Vec<(usize, Stand)> = p
-        .relearn
-        .stands
-        .iter()
-        .enumerate()
-        .filter_map(|(i, s)| s.map(|s| (i, s)))
-        .collect();
+    let all: Vec<(usize, Stand)> =
+        p.relearn.stands.iter().enumerate().filter_map(|(i, s)| s.map(|s| (i, s))).collect();
     if all.len() < SEATS - 1 || p.relearn.fetch.is_some() {
         return;
     }
--- a/crates/grebe/src/state/step.rs
+++ b/crates/grebe/src/state/step.rs
@@ -30,7 +30,13 @@
         }
         Event::Operate { op, request, expect, deed } => {
             let until = now + consts::OPERATE_PATIENCE;
-            operate::operate(core, now, op, Op { request, expect, deed, sent: None, maybe: false, until }, &mut out);
+            operate::operate(
+                core,
+                now,
+                op,
+                Op { request, expect, deed, sent: None, maybe: false, until },
+                &mut out,
+            );
         }
         Event::Vouch => {
             for p in core.parts.iter_mut().filter(|p| p.life != Life::Formed) {
--- a/crates/grebe/src/view/whole.rs
+++ b/crates/grebe/src/view/whole.rs
@@ -24,8 +24,7 @@
 
 /// A view from its sources.
 pub fn view(revision: u64, built: Arc<Built>, leafs: Vec<LeafInfo>) -> View {
-    let mappings =
-        built.mappings.iter().map(|(n, m)| (n.clone(), Arc::new(m.clone()))).collect();
+    let mappings = built.mappings.iter().map(|(n, m)| (n.clone(), Arc::new(m.clone()))).collect();
     let mut out = View { revision, built, mappings, ..View::default() };
     for leaf in leafs {
         let leaf = Arc::new(leaf);
--- a/crates/grebe/src/wire/msg.rs
+++ b/crates/grebe/src/wire/msg.rs
@@ -110,43 +110,131 @@
 
 #[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
 pub enum Msg {
-    Hello { who: Who },
+    Hello {
+        who: Who,
+    },
 
     // ---- replica groups, between seats ----
     /// How do you stand? Asked by replicas that have nothing.
-    AskStand { part: PartId, nonce: u64 },
-    Stand { part: PartId, nonce: u64, life: Life, promised: u64, epoch: u64, rev: u64 },
-    AskWhole { part: PartId, nonce: u64 },
-    GiveWhole { part: PartId, nonce: u64, promised: u64, epoch: u64, rev: u64, map: Map },
+    AskStand {
+        part: PartId,
+        nonce: u64,
+    },
+    Stand {
+        part: PartId,
+        nonce: u64,
+        life: Life,
+        promised: u64,
+        epoch: u64,
+        rev: u64,
+    },
+    AskWhole {
+        part: PartId,
+        nonce: u64,
+    },
+    GiveWhole {
+        part: PartId,
+        nonce: u64,
+        promised: u64,
+        epoch: u64,
+        rev: u64,
+        map: Map,
+    },
     /// Would you grant a claim? Changes nothing.
-    Sound { part: PartId, epoch: u64 },
-    Sounded { part: PartId, epoch: u64, yes: bool, promised: u64 },
-    Claim { part: PartId, epoch: u64 },
-    Grant { part: PartId, epoch: u64, at_epoch: u64, rev: u64 },
+    Sound {
+        part: PartId,
+        epoch: u64,
+    },
+    Sounded {
+        part: PartId,
+        epoch: u64,
+        yes: bool,
+        promised: u64,
+    },
+    Claim {
+        part: PartId,
+        epoch: u64,
+    },
+    Grant {
+        part: PartId,
+        epoch: u64,
+        at_epoch: u64,
+        rev: u64,
+    },
     /// Refused, because this higher epoch was promised.
-    Deny { part: PartId, epoch: u64, promised: u64 },
-    Whole { part: PartId, epoch: u64, rev: u64, map: Map },
-    Change { part: PartId, epoch: u64, rev: u64, entries: Vec<Entry> },
+    Deny {
+        part: PartId,
+        epoch: u64,
+        promised: u64,
+    },
+    Whole {
+        part: PartId,
+        epoch: u64,
+        rev: u64,
+        map: Map,
+    },
+    Change {
+        part: PartId,
+        epoch: u64,
+        rev: u64,
+        entries: Vec<Entry>,
+    },
     /// Synced up to here.
-    Kept { part: PartId, epoch: u64, rev: u64 },
+    Kept {
+        part: PartId,
+        epoch: u64,
+        rev: u64,
+    },
     /// Can't follow: send the whole.
-    Lack { part: PartId, epoch: u64 },
-    Beat { part: PartId, epoch: u64, round: u64, done: u64, sum: u64 },
-    Beaten { part: PartId, epoch: u64, round: u64, rev: u64 },
+    Lack {
+        part: PartId,
+        epoch: u64,
+    },
+    Beat {
+        part: PartId,
+        epoch: u64,
+        round: u64,
+        done: u64,
+        sum: u64,
+    },
+    Beaten {
+        part: PartId,
+        epoch: u64,
+        round: u64,
+        rev: u64,
+    },
 
     // ---- the feed ----
     /// Where the follower stands in each part; also asks for what is newer.
-    Follow { places: Vec<Place> },
+    Follow {
+        places: Vec<Place>,
+    },
     /// `from` is the place it continues; a snapshot has none.
-    News { part: PartId, from: Option<u64>, rev: u64, entries: Vec<Entry> },
+    News {
+        part: PartId,
+        from: Option<u64>,
+        rev: u64,
+        entries: Vec<Entry>,
+    },
     /// How far a seat has accepted each part of which it can say so.
-    Reach { places: Vec<Place> },
+    Reach {
+        places: Vec<Place>,
+    },
 
     // ---- members ----
-    Renew { member: Member, count: u64, far: Progress },
+    Renew {
+        member: Member,
+        count: u64,
+        far: Progress,
+    },
     /// Granted; `rev` is the configuration's revision at that time. Only a
     /// member that obeys it may act on the grant.
-    Tenure { name: String, count: u64, epoch: u64, rev: u64 },
+    Tenure {
+        name: String,
+        count: u64,
+        epoch: u64,
+        rev: u64,
+    },
     Tell(Cohort),
     /// Between cohort members: how old the sender's word from the core is,
     /// and what it holds. `asked` is the sender's time, which the answer
@@ -162,11 +250,26 @@
 
     // ---- leafs ----
     /// The platform's list for one part, from the holder of that duty.
-    Listed { part: PartId, fence: (u64, u64), leafs: Vec<LeafInfo> },
+    Listed {
+        part: PartId,
+        fence: (u64, u64),
+        leafs: Vec<LeafInfo>,
+    },
     /// First-hand words of leafs about themselves, all of one part.
-    Words { part: PartId, words: Vec<Word> },
+    Words {
+        part: PartId,
+        words: Vec<Word>,
+    },
 
     // ---- operators' requests handed over to the owner ----
-    Operate { op: u64, request: String, expect: Option<u64>, deed: Deed },
-    Operated { op: u64, done: Done },
+    Operate {
+        op: u64,
+        request: String,
+        expect: Option<u64>,
+        deed: Deed,
+    },
+    Operated {
+        op: u64,
+        done: Done,
+    },
 }
--- a/crates/grebe/tests/config.rs
+++ b/crates/grebe/tests/config.rs
@@ -69,7 +69,12 @@
     let with = |plan: &str| {
         let mut conf = read::whole(good().as_bytes()).unwrap();
         conf.searches.get_mut("notices").unwrap().plan = plan.to_string();
-        build::build(&conf).map(|_| ()).unwrap_err().iter().map(|f| f.to_string()).collect::<Vec<_>>()
+        build::build(&conf)
+            .map(|_| ())
+            .unwrap_err()
+            .iter()
+            .map(|f| f.to_string())
+            .collect::<Vec<_>>()
     };
     let two = with("from index = n by shard\nsend sideways\nwait 0%");
     expect_that!(two.len(), eq(3));
--- a/crates/grebe/tests/desk.rs
+++ b/crates/grebe/tests/desk.rs
@@ -73,7 +73,8 @@
 }
 
 fn told(todo: &[Command]) -> Option<&Outcome> {
-    todo.iter().find_map(|c| if let Command::Tell { outcome, .. } = c { Some(outcome) } else { None })
+    todo.iter()
+        .find_map(|c| if let Command::Tell { outcome, .. } = c { Some(outcome) } else { None })
 }
 
 fn good(s: &Sending, scores: &[u64]) -> Raw {
@@ -86,7 +87,12 @@
     Raw { status: 200, heads, body: json!({ "records": recs }).to_string().into_bytes() }
 }
 
-fn reply(d: &mut Desk, now: Tick, s: &Sending, got: std::result::Result<Raw, Trouble>) -> Vec<Command> {
+fn reply(
+    d: &mut Desk,
+    now: Tick,
+    s: &Sending,
+    got: std::result::Result<Raw, Trouble>,
+) -> Vec<Command> {
     step(d, now, Event::Reply { dispatch: s.dispatch, got })
 }
 
@@ -224,10 +230,8 @@
 #[googletest::test]
 fn shares_add_up_to_exactly_the_whole() {
     let members: Vec<(String, u32)> = (0..7).map(|i| (format!("q{i}"), 1 + i % 3)).collect();
-    let threads: Vec<(String, u32)> = members
-        .iter()
-        .flat_map(|(m, n)| (0..*n).map(|t| (m.clone(), t)))
-        .collect();
+    let threads: Vec<(String, u32)> =
+        members.iter().flat_map(|(m, n)| (0..*n).map(|t| (m.clone(), t))).collect();
     for total in [1u64, 2, 5, 13, 14, 40] {
         for thing in 0..20 {
             let sum: u64 = threads
--- a/crates/grebe/tests/disk.rs
+++ b/crates/grebe/tests/disk.rs
@@ -16,9 +16,12 @@
     Rec::Change { epoch: 4, rev, entries }
 }
 
+/// Slots, log, and the copy at each record's end.
+type Files = ([Vec<u8>; 2], Vec<u8>, Vec<(usize, Copy)>);
+
 /// Two slots and a log as a life leaves them: slot 2 is the newest, and the
-/// log holds a few records after it. Also the copy at each record's end.
-fn files() -> ([Vec<u8>; 2], Vec<u8>, Vec<(usize, Copy)>) {
+/// log holds a few records after it.
+fn files() -> Files {
     let mut copy = Copy { promised: 4, epoch: 4, rev: 10, ..Copy::default() };
     let older = write::slot(PART, 1, &copy);
     assert!(apply(&mut copy, &change(11)));
--- a/crates/grebe/tests/wire.rs
+++ b/crates/grebe/tests/wire.rs
@@ -63,10 +63,11 @@
             Ok(h) => match body(h.len) {
                 None => {}
                 // A lost last-mark or another lane only withholds the message.
-                Some(body) => match take(&mut Gather::default(), &h, &body) {
-                    Ok(Some(msg)) => assert_eq!(msg, small(77), "bit {i}"),
-                    Ok(None) | Err(_) => {}
-                },
+                Some(body) => {
+                    if let Ok(Some(msg)) = take(&mut Gather::default(), &h, &body) {
+                        assert_eq!(msg, small(77), "bit {i}");
+                    }
+                }
             },
         }
     }
--- a/crates/programs/src/controller/door.rs
+++ b/crates/programs/src/controller/door.rs
@@ -9,7 +9,7 @@
 use axum::routing::get;
 use grebe::config::{change, show};
 use grebe::consts;
-use grebe::edge::operator::{CONFIG, EXPECT_REVISION, Operated, REQUEST_ID, STATUS, write};
+use grebe::edge::operator::{self, CONFIG, EXPECT_REVISION, Operated, REQUEST_ID, STATUS, write};
 use grebe::lang::finding::Finding;
 use grebe::wire::msg::{Deed, Done};
 use serde_json::{Value, json};
@@ -66,11 +66,9 @@
 }
 
 /// Reads the request's heads; a request without an id gets one of its own.
-fn heads(map: &HeaderMap) -> Result<(String, Option<u64>), Response> {
-    let bad = |place: &str, text: &str| {
-        let find = json!([{ "place": place, "text": text }]);
-        answer(400, &json!({ "error": "bad-request", "findings": find }))
-    };
+fn heads(map: &HeaderMap) -> Result<(String, Option<u64>), Finding> {
+    let bad =
+        |place: &str, text: &str| Finding { place: place.to_string(), text: text.to_string() };
     let text = |name: &str| map.get(name).map(|v| v.to_str().map(str::to_string));
     let request = match text(REQUEST_ID) {
         None => format!("auto-{:016x}-{:016x}", runtime::clock::nonce(), runtime::clock::nonce()),
@@ -128,7 +126,9 @@
 
 async fn changed(owner: Owner, map: HeaderMap, deed: Deed) -> Response {
     match heads(&map) {
-        Err(resp) => resp,
+        Err(f) => {
+            answer(400, &json!({ "error": "bad-request", "findings": operator::findings(&[f]) }))
+        }
         Ok((request, expect)) => outcome(operate(&owner, request, expect, deed).await),
     }
 }
--- a/crates/programs/src/controller/owner.rs
+++ b/crates/programs/src/controller/owner.rs
@@ -21,7 +21,12 @@
 pub enum Input {
     Core(Event),
     /// An operator's request.
-    Operate { request: String, expect: Option<u64>, deed: Deed, tell: oneshot::Sender<Done> },
+    Operate {
+        request: String,
+        expect: Option<u64>,
+        deed: Deed,
+        tell: oneshot::Sender<Done>,
+    },
     /// What this seat knows itself, as JSON.
     Own(oneshot::Sender<serde_json::Value>),
     Metrics(oneshot::Sender<String>),
@@ -63,8 +68,7 @@
             other.then(|| dial(*addr, Who::Seat(p.seat), i as u8, wire_tx.clone()))
         })
         .collect();
-    let mut io =
-        Io { seats, wires: HashMap::new(), disk, tells: HashMap::new(), next_op: 1 };
+    let mut io = Io { seats, wires: HashMap::new(), disk, tells: HashMap::new(), next_op: 1 };
     for (part, why) in sick {
         let todo = step(&mut core, now(&clock), Event::DiskTrouble { part, why });
         carry_out(&mut io, todo);
--- a/crates/programs/src/controller/params.rs
+++ b/crates/programs/src/controller/params.rs
@@ -34,11 +34,14 @@
 }
 
 fn flags() -> OptionParser<Flags> {
-    let file = long("params").help("JSON file with params; flags go first").argument("FILE").optional();
-    let seat = long("seat").help("which of the three seeds this is: 0, 1 or 2").argument("N").optional();
+    let file =
+        long("params").help("JSON file with params; flags go first").argument("FILE").optional();
+    let seat =
+        long("seat").help("which of the three seeds this is: 0, 1 or 2").argument("N").optional();
     let zone = long("zone").help("the zone this machine stands in").argument("NAME").optional();
     let listen = long("listen").help("address for operators").argument("IP:PORT").optional();
-    let inner = long("inner").help("address for the other processes").argument("IP:PORT").optional();
+    let inner =
+        long("inner").help("address for the other processes").argument("IP:PORT").optional();
     let seeds = long("seeds")
         .help("inner addresses of the three controllers, by seat, with commas")
         .argument("IP:PORT,..")
--- a/crates/programs/src/fleet/main.rs
+++ b/crates/programs/src/fleet/main.rs
@@ -78,7 +78,9 @@
     for task in loads {
         task.await.map_err(|e| e.to_string())?;
     }
-    let out = summary(&f, &seen.borrow()).await?;
+    // Every call has ended: what was seen does not change any more.
+    let seen = seen.take();
+    let out = summary(&f, &seen).await?;
     println!("{}", serde_json::to_string_pretty(&out).unwrap_or_default());
     Ok(out["answers"]["violations"] == 0)
 }
@@ -91,9 +93,11 @@
     let worst = leafs.iter().max_by_key(|l| l["worst_pct"].as_u64());
     let sum = |key: &str| leafs.iter().filter_map(|l| l[key].as_u64()).sum::<u64>();
     let mut counts = serde_json::Map::new();
-    for name in
-        ["grebe_first_dispatches_total", "grebe_second_tries_total", "grebe_second_tries_denied_total"]
-    {
+    for name in [
+        "grebe_first_dispatches_total",
+        "grebe_second_tries_total",
+        "grebe_second_tries_denied_total",
+    ] {
         let mut n = 0;
         for (i, front) in f.fronts.iter().enumerate() {
             if f.queriers[i].child.is_some() {
--- a/crates/programs/src/grebectl/cli.rs
+++ b/crates/programs/src/grebectl/cli.rs
@@ -133,10 +133,7 @@
         .argument("SECONDS")
         .optional();
     let request = long("request-id").help("id under which to send").argument("ID").optional();
-    let expect = long("expect-revision")
-        .help("change only this revision")
-        .argument("N")
-        .optional();
+    let expect = long("expect-revision").help("change only this revision").argument("N").optional();
     let verb = verb();
     construct!(Args { at, json, wait, request, expect, verb })
         .to_options()
--- a/crates/programs/src/grebectl/net.rs
+++ b/crates/programs/src/grebectl/net.rs
@@ -26,7 +26,13 @@
 
 /// A request that only reads.
 pub fn reading(path: &str) -> Ask {
-    Ask { method: Method::GET, path: path.to_string(), body: Vec::new(), request: None, expect: None }
+    Ask {
+        method: Method::GET,
+        path: path.to_string(),
+        body: Vec::new(),
+        request: None,
+        expect: None,
+    }
 }
 
 /// Asks one controller after another until one says something final. The
--- a/crates/programs/src/grebectl/show.rs
+++ b/crates/programs/src/grebectl/show.rs
@@ -101,7 +101,11 @@
             Err(e) => out += &format!("controller at {addr}: {e}\n"),
             Ok(v) => {
                 let here = &v["here"];
-                out += &format!("controller {} in zone {} at {addr}\n", here["seat"], text(&here["zone"]));
+                out += &format!(
+                    "controller {} in zone {} at {addr}\n",
+                    here["seat"],
+                    text(&here["zone"])
+                );
                 for p in list(&here["parts"]) {
                     out += &format!(
                         "  {:<11} {:<11} owner {:<5} epoch {:<5} revision {:<6} shown {}{}\n",
--- a/crates/programs/src/grebectl/verbs.rs
+++ b/crates/programs/src/grebectl/verbs.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use grebe::config::{build, change, read, show as conf_show};
 use grebe::config::types::Config;
+use grebe::config::{build, change, read, show as conf_show};
 use grebe::edge::operator::{CONFIG, STATUS};
 use grebe::lang::finding::Finding;
 use hyper::Method;
@@ -163,8 +163,13 @@
     let id = args.request.clone().unwrap_or_else(|| {
         format!("ctl-{:016x}{:016x}", runtime::clock::nonce(), runtime::clock::nonce())
     });
-    let what =
-        Ask { method, path: CONFIG.to_string(), body, request: Some(id.clone()), expect: args.expect };
+    let what = Ask {
+        method,
+        path: CONFIG.to_string(),
+        body,
+        request: Some(id.clone()),
+        expect: args.expect,
+    };
     let (code, answer) = ask(http, &list, &what)
         .await
         .map_err(|e| End(format!("{e}; ask again with --request-id {id}"), EXIT_UNKNOWN))?;
--- a/crates/programs/src/proof/backs.rs
+++ b/crates/programs/src/proof/backs.rs
@@ -33,7 +33,10 @@
     /// Takes connections and requests and never answers.
     Dark,
     /// Stops for so long (ms) every so often (ms).
-    Pauses { every: u64, pause: u64 },
+    Pauses {
+        every: u64,
+        pause: u64,
+    },
     Garbage,
     CutShort,
     Disorder,
@@ -314,25 +317,14 @@
         Ok(body) => body.to_bytes(),
         Err(_) => return Ok(plain(&leaf, 400)),
     };
-    {
-        let mut l = leaf.borrow_mut();
-        if want != l.name || service != l.service.name {
-            l.misdirected += 1;
-            drop(l);
-            return Ok(unrun(&leaf, edge::MISDIRECTED));
-        }
-        if probe {
-            drop(l);
-            if leaf.borrow().mode == Mode::Dark {
-                tokio::time::sleep(Duration::from_secs(3600)).await;
-            }
-            return Ok(plain(&leaf, 200));
-        }
-        if digest(&body) != sum {
-            l.changed += 1;
-            drop(l);
-            return Ok(unrun(&leaf, 400));
+    if let Some(code) = refuses(&leaf, &want, &service, (!probe).then_some((&body, &sum))) {
+        return Ok(unrun(&leaf, code));
+    }
+    if probe {
+        if leaf.borrow().mode == Mode::Dark {
+            std::future::pending::<()>().await;
         }
+        return Ok(plain(&leaf, 200));
     }
     let Ok(asked) = serde_json::from_slice::<Value>(&body) else {
         return Ok(unrun(&leaf, 400));
@@ -376,6 +368,25 @@
     Ok(answer(&leaf, &mode, &query, &sum, (&question, key.as_deref(), limit)))
 }
 
+/// Whether a leaf turns a request away: meant for another, or changed.
+fn refuses(
+    leaf: &Rc<RefCell<Leaf>>,
+    want: &str,
+    service: &str,
+    body: Option<(&[u8], &str)>,
+) -> Option<u16> {
+    let mut l = leaf.borrow_mut();
+    if want != l.name || service != l.service.name {
+        l.misdirected += 1;
+        return Some(edge::MISDIRECTED);
+    }
+    if body.is_some_and(|(body, sum)| digest(body) != sum) {
+        l.changed += 1;
+        return Some(400);
+    }
+    None
+}
+
 fn note_run(
     leaf: &Rc<RefCell<Leaf>>,
     runs: &Rc<RefCell<Vec<Run>>>,
--- a/crates/programs/src/proof/control.rs
+++ b/crates/programs/src/proof/control.rs
@@ -92,7 +92,11 @@
         .runs
         .borrow()
         .iter()
-        .map(|r| json!([r.leaf, r.service, r.cut, r.zone, r.query, r.question, r.key, r.at_ms, r.answered]))
+        .map(|r| {
+            json!([
+                r.leaf, r.service, r.cut, r.zone, r.query, r.question, r.key, r.at_ms, r.answered
+            ])
+        })
         .collect();
     Value::Array(list)
 }
@@ -146,7 +150,9 @@
         "good" => Mode::Good,
         "slow" => Mode::Slow(ms),
         "dark" => Mode::Dark,
-        "pauses" => Mode::Pauses { every: val["every"].as_u64().unwrap_or(3_000).max(1), pause: ms },
+        "pauses" => {
+            Mode::Pauses { every: val["every"].as_u64().unwrap_or(3_000).max(1), pause: ms }
+        }
         "garbage" => Mode::Garbage,
         "cut-short" => Mode::CutShort,
         "disorder" => Mode::Disorder,
--- a/crates/programs/src/proof/fleet.rs
+++ b/crates/programs/src/proof/fleet.rs
@@ -171,22 +171,46 @@
         let data = layout.dir.join(format!("seat-{i}")).display().to_string();
         let inner = format!("127.0.0.1:{port}");
         let args = text(&[
-            "--seat", &i.to_string(), "--zone", zones[i], "--listen", "127.0.0.1:0", "--inner",
-            &inner, "--seeds", &seeds, "--data", &data,
+            "--seat",
+            &i.to_string(),
+            "--zone",
+            zones[i],
+            "--listen",
+            "127.0.0.1:0",
+            "--inner",
+            &inner,
+            "--seeds",
+            &seeds,
+            "--data",
+            &data,
         ]);
         let mut p = proc(&layout, &format!("controller-{i}"), "controller", &args);
         start(&mut p)?;
         let door = address(&p.first, "door")?;
         // It keeps its door when it is started again.
-        p.args = p.args.iter().map(|a| if a == "127.0.0.1:0" { door.to_string() } else { a.clone() }).collect();
+        p.args = p
+            .args
+            .iter()
+            .map(|a| if a == "127.0.0.1:0" { door.to_string() } else { a.clone() })
+            .collect();
         doors.push(door);
         seats.push(p);
     }
     let (mut queriers, mut fronts) = (Vec::new(), Vec::new());
     for i in 0..layout.queriers {
         let args = text(&[
-            "--name", &format!("q{i}"), "--zone", zones[i % 3], "--listen", "127.0.0.1:0",
-            "--inner", "127.0.0.1:0", "--seeds", &seeds, "--list", &list.to_string(),
+            "--name",
+            &format!("q{i}"),
+            "--zone",
+            zones[i % 3],
+            "--listen",
+            "127.0.0.1:0",
+            "--inner",
+            "127.0.0.1:0",
+            "--seeds",
+            &seeds,
+            "--list",
+            &list.to_string(),
         ]);
         let mut p = proc(&layout, &format!("querier-{i}"), "querier", &args);
         start(&mut p)?;
@@ -249,7 +273,8 @@
 /// Tells the stand-in back ends to misbehave.
 pub async fn order(f: &Fleet, val: Value) -> Result<Value, String> {
     let url = format!("http://{}/control", f.list);
-    let (code, got) = request(&f.http, Method::POST, url, val.to_string().into_bytes(), &[]).await?;
+    let (code, got) =
+        request(&f.http, Method::POST, url, val.to_string().into_bytes(), &[]).await?;
     if code == 200 { Ok(got) } else { Err(got.to_string()) }
 }
 
@@ -300,7 +325,11 @@
 /// The programs' folder when called from one of them, or from a test.
 pub fn bin_dir(exe: &Path) -> PathBuf {
     let dir = exe.parent().unwrap_or(Path::new("."));
-    if dir.ends_with("deps") { dir.parent().unwrap_or(dir).to_path_buf() } else { dir.to_path_buf() }
+    if dir.ends_with("deps") {
+        dir.parent().unwrap_or(dir).to_path_buf()
+    } else {
+        dir.to_path_buf()
+    }
 }
 
 /// A summary of one controller's status.
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -26,7 +26,10 @@
 
 /// What reaches the control thread.
 pub enum Input {
-    Word { service: String, word: Word },
+    Word {
+        service: String,
+        word: Word,
+    },
     List(Result<Vec<LeafInfo>, String>),
     Counts(oneshot::Sender<crate::metrics::Control>),
     /// A traffic thread has nothing in hand any more.
@@ -255,8 +258,7 @@
         .body(Full::default())
         .map_err(|e| e.to_string())?;
     let wait = duration(consts::LIST_PATIENCE);
-    let resp =
-        call_within(http, req, consts::LIST_LIMIT, wait).await.map_err(|e| e.to_string())?;
+    let resp = call_within(http, req, consts::LIST_LIMIT, wait).await.map_err(|e| e.to_string())?;
     if resp.status() != 200 {
         return Err(format!("status {}", resp.status()));
     }
--- a/crates/programs/src/querier/door.rs
+++ b/crates/programs/src/querier/door.rs
@@ -103,11 +103,8 @@
     let call = NEXT_CALL.fetch_add(1, Ordering::Relaxed);
     let (tell, told) = oneshot::channel();
     let mut guard = Guard { call, here: door.here.clone(), done: false };
-    let outcome = if door.here.send(Work::Call { call, ask, tell }).is_ok() {
-        told.await.ok()
-    } else {
-        None
-    };
+    let outcome =
+        if door.here.send(Work::Call { call, ask, tell }).is_ok() { told.await.ok() } else { None };
     guard.done = true;
     let outcome = outcome.unwrap_or_else(|| {
         Outcome::Bounce(Bounce::new(Reason::Stopping, "this node is going down"))
@@ -118,8 +115,7 @@
 fn written(outcome: &Outcome) -> Response {
     let out = caller::write(outcome);
     let code = StatusCode::from_u16(out.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut resp =
-        (code, [(header::CONTENT_TYPE, "application/json")], out.body).into_response();
+    let mut resp = (code, [(header::CONTENT_TYPE, "application/json")], out.body).into_response();
     if let Some(n) = out.missing {
         resp.headers_mut().insert(MISSING_PARTS, (n as u64).into());
     }
--- a/crates/programs/src/querier/metrics.rs
+++ b/crates/programs/src/querier/metrics.rs
@@ -100,7 +100,13 @@
         one(o, "gauge", "grebe_shares", "Threads that divide the fleet's limits.", k.shares);
         let c = &k.counts;
         one(o, "counter", "grebe_news_taken_total", "News taken.", c.news);
-        one(o, "counter", "grebe_news_from_members_total", "Of these, from members.", c.news_from_members);
+        one(
+            o,
+            "counter",
+            "grebe_news_from_members_total",
+            "Of these, from members.",
+            c.news_from_members,
+        );
         one(o, "counter", "grebe_list_polls_total", "Polls of the platform's list.", c.list_polls);
         one(o, "counter", "grebe_list_troubles_total", "Polls that failed.", c.list_troubles);
         one(o, "counter", "grebe_probes_total", "Probes of leafs.", c.probes);
--- a/crates/programs/src/querier/params.rs
+++ b/crates/programs/src/querier/params.rs
@@ -34,8 +34,10 @@
 }
 
 fn flags() -> OptionParser<Flags> {
-    let file = long("params").help("JSON file with params; flags go first").argument("FILE").optional();
-    let name = long("name").help("this querier's name, its own in the fleet").argument("NAME").optional();
+    let file =
+        long("params").help("JSON file with params; flags go first").argument("FILE").optional();
+    let name =
+        long("name").help("this querier's name, its own in the fleet").argument("NAME").optional();
     let zone = long("zone").help("the zone this machine stands in").argument("NAME").optional();
     let listen = long("listen").help("address for callers").argument("IP:PORT").optional();
     let inner = long("inner").help("address for the other queriers").argument("IP:PORT").optional();
@@ -43,7 +45,8 @@
         .help("inner addresses of the three controllers, by seat, with commas")
         .argument("IP:PORT,..")
         .optional();
-    let list = long("list").help("address of the platform's list of leafs").argument("IP:PORT").optional();
+    let list =
+        long("list").help("address of the platform's list of leafs").argument("IP:PORT").optional();
     let threads = long("threads").help("threads for traffic (1)").argument("N").optional();
     bpaf::construct!(Flags { file, name, zone, listen, inner, seeds, list, threads })
         .to_options()
--- a/crates/programs/src/querier/traffic.rs
+++ b/crates/programs/src/querier/traffic.rs
@@ -20,7 +20,11 @@
 /// What reaches a traffic thread's owner.
 pub enum Work {
     Event(Event),
-    Call { call: u64, ask: Ask, tell: oneshot::Sender<Outcome> },
+    Call {
+        call: u64,
+        ask: Ask,
+        tell: oneshot::Sender<Outcome>,
+    },
     Counts(oneshot::Sender<Counts>),
     /// Finish what is in hand and say so.
     Drain,
@@ -89,12 +93,7 @@
 }
 
 /// The owner's loop: one event at a time, then the commands.
-async fn own(
-    desk: Rc<RefCell<Desk>>,
-    mut io: Io,
-    clock: Clock,
-    mut rx: UnboundedReceiver<Work>,
-) {
+async fn own(desk: Rc<RefCell<Desk>>, mut io: Io, clock: Clock, mut rx: UnboundedReceiver<Work>) {
     let mut draining = false;
     loop {
         let due = next(&desk.borrow());
--- a/crates/programs/src/standin/cli.rs
+++ b/crates/programs/src/standin/cli.rs
@@ -6,7 +6,11 @@
 
 /// Which stand-in.
 pub enum Verb {
-    Backs { spec: String, listen: SocketAddr, seed: u64 },
+    Backs {
+        spec: String,
+        listen: SocketAddr,
+        seed: u64,
+    },
     Callers {
         spec: String,
         targets: Vec<SocketAddr>,
--- a/crates/programs/src/standin/main.rs
+++ b/crates/programs/src/standin/main.rs
@@ -94,8 +94,7 @@
         .body(Full::default())
         .map_err(|e| e.to_string())?;
     let wait = Duration::from_secs(30);
-    let resp = runtime::http::call_within(http, req, 1 << 30, wait)
-        .await
-        .map_err(|e| e.to_string())?;
+    let resp =
+        runtime::http::call_within(http, req, 1 << 30, wait).await.map_err(|e| e.to_string())?;
     serde_json::from_slice(resp.body()).map_err(|e| e.to_string())
 }
--- a/crates/programs/tests/fleet.rs
+++ b/crates/programs/tests/fleet.rs
@@ -55,9 +55,7 @@
     let url = format!("http://{}/v1/search/{path}", f.fronts[i]);
     let heads = [("budget-ms", budget)];
     let heads = if budget.is_empty() { &heads[..0] } else { &heads[..] };
-    fleet::request(&f.http, Method::POST, url, body.to_string().into_bytes(), heads)
-        .await
-        .unwrap()
+    fleet::request(&f.http, Method::POST, url, body.to_string().into_bytes(), heads).await.unwrap()
 }
 
 /// Runs grebectl against the fleet; gives exit code and output.
@@ -68,11 +66,8 @@
         .args(args)
         .output()
         .unwrap();
-    let text = format!(
-        "{}{}",
-        String::from_utf8_lossy(&out.stdout),
-        String::from_utf8_lossy(&out.stderr)
-    );
+    let text =
+        format!("{}{}", String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr));
     (out.status.code().unwrap_or(-1), text)
 }
 
@@ -95,10 +90,8 @@
 
 async fn callers(f: &Fleet, spec: &Spec) {
     for (n, kind) in spec.kinds.iter().enumerate() {
-        let asked = Asked {
-            question: format!("what-{n}"),
-            key: kind.lookup.then(|| format!("unit-{n}")),
-        };
+        let asked =
+            Asked { question: format!("what-{n}"), key: kind.lookup.then(|| format!("unit-{n}")) };
         let mut body = json!({ "question": asked.question, "limit": kind.limit });
         if let Some(key) = &asked.key {
             body["key"] = json!(key);
@@ -195,7 +188,11 @@
 
 /// Sends light traffic for as long as `body` takes, then checks every answer
 /// against the leafs' own log.
-async fn under_traffic<T>(f: Fleet, spec: &Spec, body: impl AsyncFnOnce(&mut Fleet) -> T) -> (Fleet, T, Value) {
+async fn under_traffic<T>(
+    f: Fleet,
+    spec: &Spec,
+    body: impl AsyncFnOnce(&mut Fleet) -> T,
+) -> (Fleet, T, Value) {
     let mut f = f;
     let seen = Rc::new(RefCell::new(Seen::default()));
     let ready = Rc::new(RefCell::new(f.fronts.clone()));
@@ -204,9 +201,15 @@
     let fronts = f.fronts.clone();
     let (seen_in, ready_in, kinds) = (seen.clone(), ready.clone(), spec.kinds.clone());
     let calls = async move {
-        tokio::task::spawn_local(watch_ready(runtime::http::client(2), fronts, ready_in.clone(), far));
+        tokio::task::spawn_local(watch_ready(
+            runtime::http::client(2),
+            fronts,
+            ready_in.clone(),
+            far,
+        ));
         for (i, kind) in kinds.into_iter().enumerate() {
-            let (http, ready, seen) = (runtime::http::client(32), ready_in.clone(), seen_in.clone());
+            let (http, ready, seen) =
+                (runtime::http::client(32), ready_in.clone(), seen_in.clone());
             tokio::task::spawn_local(load(http, kind, 0.1, ready, seen, i as u64, far));
         }
         std::future::pending::<()>().await;
@@ -309,7 +312,14 @@
     };
     let (code, text) = run(
         env!("CARGO_BIN_EXE_controller"),
-        &["--seat", "3", "--listen", "localhost:1", "--seeds", "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2"],
+        &[
+            "--seat",
+            "3",
+            "--listen",
+            "localhost:1",
+            "--seeds",
+            "127.0.0.1:1,127.0.0.1:1,127.0.0.1:2",
+        ],
     );
     expect_that!(code, some(eq(2)));
     for want in ["--seat", "--zone", "--listen", "--inner", "--seeds", "--data"] {
--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -136,7 +136,8 @@
 /// Takes the data folder for this process alone, as long as the file lives.
 pub fn lock(data: &Path) -> Result<File, Error> {
     fs::create_dir_all(data)?;
-    let file = OpenOptions::new().create(true).truncate(false).write(true).open(data.join("lock"))?;
+    let file =
+        OpenOptions::new().create(true).truncate(false).write(true).open(data.join("lock"))?;
     match file.try_lock() {
         Ok(()) => Ok(file),
         Err(e) => Err(Error::other(format!("another process uses this data folder: {e}"))),
--- a/crates/runtime/src/wire.rs
+++ b/crates/runtime/src/wire.rs
@@ -18,13 +18,28 @@
 /// What wires tell their owner.
 pub enum WireEvent<T> {
     /// A wire that we dial brought a message.
-    Dialled { tag: T, msg: Msg },
+    Dialled {
+        tag: T,
+        msg: Msg,
+    },
     /// A wire that was opened towards us.
-    Opened { wire: u64, who: Who, out: Out },
-    Came { wire: u64, who: Who, msg: Msg },
-    Closed { wire: u64 },
+    Opened {
+        wire: u64,
+        who: Who,
+        out: Out,
+    },
+    Came {
+        wire: u64,
+        who: Who,
+        msg: Msg,
+    },
+    Closed {
+        wire: u64,
+    },
     /// A peer speaks something we can't read.
-    Trouble { text: String },
+    Trouble {
+        text: String,
+    },
 }
 
 /// The sending end of a wire.
--- a/crates/sim/src/backs.rs
+++ b/crates/sim/src/backs.rs
@@ -195,10 +195,11 @@
 /// be out of order.
 pub fn true_reply(mode: Mode, limit: u64) -> bool {
     use Mode::*;
-    (mode == Disorder && limit == 1) || !matches!(
-        mode,
-        Garbage | Disorder | NoPostmark | TwoPostmarks | StalePostmark | WrongCut
-    )
+    (mode == Disorder && limit == 1)
+        || !matches!(
+            mode,
+            Garbage | Disorder | NoPostmark | TwoPostmarks | StalePostmark | WrongCut
+        )
 }
 
 /// Heads that every reply carries.
--- a/crates/sim/src/chaos.rs
+++ b/crates/sim/src/chaos.rs
@@ -18,36 +18,65 @@
     let services = ["mohalla-notices-w48-0", "mohalla-alerts-w48-1", "mohalla-archive-w48-0"];
     let service = services[below(luck, 3) as usize];
     let zone = ["a", "b", "c"][below(luck, 3) as usize];
-    let modes = ["slow", "dark", "pauses", "garbage", "disorder", "no-postmark", "two-postmarks",
-        "stale-postmark", "wrong-cut", "unrun"];
+    let modes = [
+        "slow",
+        "dark",
+        "pauses",
+        "garbage",
+        "disorder",
+        "no-postmark",
+        "two-postmarks",
+        "stale-postmark",
+        "wrong-cut",
+        "unrun",
+    ];
     let mode = modes[below(luck, modes.len() as u64) as usize];
     let heal = at(from + span, json!({ "do": "heal" }));
     let well = at(from + span, json!({ "do": "disk", "which": seat, "health": "good" }));
     let fine = at(from + span, json!({ "do": "leafs", "service": service, "mode": "good" }));
     let power = chance(luck, 1, 2);
     match below(luck, 16) {
-        0 => vec![at(from, json!({ "do": "kill-seat", "which": seat, "for_s": span, "power": power }))],
-        1 => vec![at(from, json!({ "do": "kill-seat", "which": seat, "for_s": span, "lose": true }))],
+        0 => vec![at(
+            from,
+            json!({ "do": "kill-seat", "which": seat, "for_s": span, "power": power }),
+        )],
+        1 => {
+            vec![at(from, json!({ "do": "kill-seat", "which": seat, "for_s": span, "lose": true }))]
+        }
         2 => vec![at(from, json!({ "do": "kill-querier", "which": querier, "for_s": span }))],
         3 => vec![at(from, json!({ "do": "pause-seat", "which": seat, "for_s": span }))],
         4 => vec![at(from, json!({ "do": "pause-querier", "which": querier, "for_s": span }))],
         5 => {
             let health = ["full", "stalled", "slow"][below(luck, 3) as usize];
-            vec![at(from, json!({ "do": "disk", "which": seat, "health": health, "ms": 200 })), well]
+            vec![
+                at(from, json!({ "do": "disk", "which": seat, "health": health, "ms": 200 })),
+                well,
+            ]
         }
         6 => vec![
             at(from, json!({ "do": "flip", "which": seat })),
             at(from + 0.1, json!({ "do": "kill-seat", "which": seat, "for_s": span })),
         ],
-        7 => vec![at(from, json!({ "do": "cut", "a": [format!("seat{seat}")], "b": ["all"] })), heal],
+        7 => {
+            vec![at(from, json!({ "do": "cut", "a": [format!("seat{seat}")], "b": ["all"] })), heal]
+        }
         8 => vec![
-            at(from, json!({ "do": "cut", "a": [format!("q{querier}")], "b": ["all"], "one_way": power })),
+            at(
+                from,
+                json!({ "do": "cut", "a": [format!("q{querier}")], "b": ["all"], "one_way": power }),
+            ),
+            heal,
+        ],
+        9 => vec![
+            at(from, json!({ "do": "cut", "a": [format!("zone-{zone}")], "b": ["all"] })),
             heal,
         ],
-        9 => vec![at(from, json!({ "do": "cut", "a": [format!("zone-{zone}")], "b": ["all"] })), heal],
         10 => vec![at(from, json!({ "do": "loss", "per_mille": 50 })), heal],
         11 => vec![
-            at(from, json!({ "do": "leafs", "service": service, "count": 2, "mode": mode, "ms": 400 })),
+            at(
+                from,
+                json!({ "do": "leafs", "service": service, "count": 2, "mode": mode, "ms": 400 }),
+            ),
             fine,
         ],
         12 => vec![
@@ -68,7 +97,8 @@
 /// Troubles alone and in pairs, a few seconds apart, and one last one.
 pub fn chaos(seed: u64, seconds: f64) -> Vec<Value> {
     let mut luck = luck(seed ^ 0xc0ffee);
-    let mut all = vec![at(1.0, json!({ "do": "storm", "count": (seconds * 4.0) as u64, "gap_ms": 200 }))];
+    let mut all =
+        vec![at(1.0, json!({ "do": "storm", "count": (seconds * 4.0) as u64, "gap_ms": 200 }))];
     let mut from = 2.0;
     while from < seconds - 16.0 {
         let first = draw(&mut luck, from);
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,8 +4,8 @@
 pub mod backs;
 pub mod chaos;
 pub mod check;
-pub mod oracle;
 pub mod net;
+pub mod oracle;
 pub mod report;
 pub mod rules;
 pub mod scenario;
--- a/crates/sim/src/main.rs
+++ b/crates/sim/src/main.rs
@@ -65,7 +65,8 @@
     for seed in args.seed..args.seed + args.seeds {
         let mut rows = Vec::new();
         for s in &list {
-            let w = if args.chaos { play(&stirred(s, seed), seed, None) } else { play(s, seed, None) };
+            let w =
+                if args.chaos { play(&stirred(s, seed), seed, None) } else { play(s, seed, None) };
             broken |= !w.rules.counts.is_empty();
             show(&args, s, seed, &w);
             rows.push(sums(&w));
--- a/crates/sim/src/report.rs
+++ b/crates/sim/src/report.rs
@@ -56,7 +56,16 @@
     let j = json(w);
     let mut out = format!(
         "{:<10} {:>7} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>8} {:>8}\n",
-        "search", "calls", "full", "partial", "bounced", "lost", "late", "p50 ms", "p99 ms", "max ms"
+        "search",
+        "calls",
+        "full",
+        "partial",
+        "bounced",
+        "lost",
+        "late",
+        "p50 ms",
+        "p99 ms",
+        "max ms"
     );
     for (name, k) in j["kinds"].as_object().into_iter().flatten() {
         let bounced: u64 =
--- a/crates/sim/src/rules.rs
+++ b/crates/sim/src/rules.rs
@@ -166,7 +166,12 @@
         && now > *from
     {
         let late = (now - from) as f64 / 1e6;
-        broken(r, now, 8, format!("{who} sends to {leaf} in emptied zone {zone}, {late:.2} s late"));
+        broken(
+            r,
+            now,
+            8,
+            format!("{who} sends to {leaf} in emptied zone {zone}, {late:.2} s late"),
+        );
     }
 }
 
@@ -209,7 +214,12 @@
     for back in std::mem::take(&mut r.restarts) {
         for kind in back.made.keys().filter(|k| !back.good.contains_key(*k)) {
             let when = back.at as f64 / 1e6;
-            broken(r, now, 12, format!("{kind} was not back 12 s after the restart at {when:.1} s"));
+            broken(
+                r,
+                now,
+                12,
+                format!("{kind} was not back 12 s after the restart at {when:.1} s"),
+            );
         }
     }
 }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -255,7 +255,9 @@
         .backs
         .leafs
         .values()
-        .filter(|l| l.alive == Alive::Up && fits("service", &l.service.name) && fits("zone", &l.zone))
+        .filter(|l| {
+            l.alive == Alive::Up && fits("service", &l.service.name) && fits("zone", &l.zone)
+        })
         .map(|l| l.name.clone())
         .collect();
     if let Some(n) = val["count"].as_u64() {
@@ -390,8 +392,7 @@
                 world::kill_leaf(w, &name, if vanish { Alive::Vanished } else { Alive::Down });
             }
             "restart-leafs" | "reuse" => {
-                let (mut service, zone, addr) =
-                    (l.service.clone(), l.zone.clone(), l.addr.clone());
+                let (mut service, zone, addr) = (l.service.clone(), l.zone.clone(), l.addr.clone());
                 world::kill_leaf(w, &name, Alive::Down);
                 if t.what == "reuse" {
                     service.name = t.val["by"].as_str().unwrap_or("stranger").to_string();
@@ -410,7 +411,9 @@
     w.broken = broken;
     world::order(&mut w, ms(200), world::whole(&s.config));
     // A fleet that has come up, before anything happens.
-    world::until(&mut w, 20 * SECOND, |w| world::settled(w) && !w.orders.is_empty() && w.orders[0].done.is_some());
+    world::until(&mut w, 20 * SECOND, |w| {
+        world::settled(w) && !w.orders.is_empty() && w.orders[0].done.is_some()
+    });
     world::run(&mut w, 2 * SECOND);
     let troubles = s.troubles.clone();
     world::plan(&mut w, troubles);
--- a/crates/sim/src/vdisk.rs
+++ b/crates/sim/src/vdisk.rs
@@ -64,7 +64,8 @@
     job: Job,
     luck: &mut Luck,
 ) -> Option<Tick> {
-    let took = ms(1) + below(luck, ms(3))
+    let took = ms(1)
+        + below(luck, ms(3))
         + match d.health {
             Health::Slow(more) => more,
             _ => 0,
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -93,7 +93,10 @@
     StartQuerier(usize),
     /// A querier that is asked to stop ends once nothing is in hand.
     EndQuerier(usize, u64),
-    Storm { left: u64, gap: Span },
+    Storm {
+        left: u64,
+        gap: Span,
+    },
 }
 
 /// A controller's machine.
@@ -388,7 +391,8 @@
                 Some(Err(why)) => CoreEvent::DiskTrouble { part, why },
                 None => return,
             };
-            if w.broken != Some(Broken::EarlyYes) || matches!(event, CoreEvent::DiskTrouble { .. }) {
+            if w.broken != Some(Broken::EarlyYes) || matches!(event, CoreEvent::DiskTrouble { .. })
+            {
                 step_seat(w, s, event);
             }
         }
@@ -426,8 +430,9 @@
             }
         }
         Hap::Platform => {
-            w.platform =
-                (0..w.queriers.len()).filter(|q| w.queriers[*q].up && w.queriers[*q].ready).collect();
+            w.platform = (0..w.queriers.len())
+                .filter(|q| w.queriers[*q].up && w.queriers[*q].ready)
+                .collect();
             push(w, SECOND, Hap::Platform);
         }
         Hap::Operate { order } => operate(w, order),
@@ -856,7 +861,11 @@
             w.queriers[q].desks[t].queries.get(&d.query).map(|query| query.slots[d.slot].tries)
         })
         .unwrap_or(1);
-    if try_no > 1 { w.rules.seconds.push(now) } else { w.rules.firsts.push(now) }
+    if try_no > 1 {
+        w.rules.seconds.push(now)
+    } else {
+        w.rules.firsts.push(now)
+    }
     let who = w.queriers[q].name.clone();
     if let Some(l) = w.backs.leafs.get(&sending.leaf) {
         let (zone, known) = (l.zone.clone(), l.known_leaving.map(|k| k - BEGIN));
@@ -971,8 +980,7 @@
     let Some(l) = w.backs.leafs.get_mut(name) else { return };
     l.alive = how;
     let zone = l.zone.clone();
-    let runs: Vec<u64> =
-        w.runs.iter().filter(|(_, r)| r.leaf == name).map(|(id, _)| *id).collect();
+    let runs: Vec<u64> = w.runs.iter().filter(|(_, r)| r.leaf == name).map(|(id, _)| *id).collect();
     for run in runs {
         if let Some(r) = end_run(w, run)
             && how == Alive::Down
@@ -1045,8 +1053,7 @@
             && b.query.is_some()
         {
             let cut = w.kinds[kind].shards[0].0.clone();
-            let planned =
-                w.kinds[kind].shards.iter().filter(|s| s.0 == cut).count();
+            let planned = w.kinds[kind].shards.iter().filter(|s| s.0 == cut).count();
             return Outcome::Full(grebe::query::ask::Full {
                 query: b.query.clone().unwrap_or_default(),
                 mapping: w.kinds[kind].search.clone(),
@@ -1088,12 +1095,21 @@
         Outcome::Full(full) => {
             let took = w.now - c.began;
             let t = tally(w, c.kind);
-            if full.missing == 0 { t.full += 1 } else { t.partial += 1 }
+            if full.missing == 0 {
+                t.full += 1
+            } else {
+                t.partial += 1
+            }
             t.waits.push(took);
             let missing = written.missing.map(|n| n.to_string());
             let (bad, services) = success(&kind, &c.asked, missing.as_deref(), &written.body);
             for text in bad {
-                rules::broken(&mut w.rules, now, rules::rule_of(&text), format!("{}: {text}", full.query));
+                rules::broken(
+                    &mut w.rules,
+                    now,
+                    rules::rule_of(&text),
+                    format!("{}: {text}", full.query),
+                );
             }
             rules::claims(&mut w.rules, now, &full.query, &services, &c.asked.question);
             let who = w.queriers[c.q].name.clone();
@@ -1110,9 +1126,10 @@
         // Nobody to ask; the operator tries again, as grebectl does.
         return push(w, ms(500), Hap::Operate { order: id });
     }
-    let s = w.orders[id].seat.filter(|s| up.contains(s)).unwrap_or_else(|| {
-        up[below(&mut w.luck, up.len() as u64) as usize]
-    });
+    let s = w.orders[id]
+        .seat
+        .filter(|s| up.contains(s))
+        .unwrap_or_else(|| up[below(&mut w.luck, up.len() as u64) as usize]);
     if w.orders[id].at == 0 {
         w.orders[id].at = w.now;
     }
@@ -1134,7 +1151,9 @@
     let now = w.now - BEGIN;
     rules::tell(&mut w.rules, now, || {
         let text = match &done {
-            Done::Accepted { revision, copies, .. } => format!("accepted as {revision}, {copies} copies"),
+            Done::Accepted { revision, copies, .. } => {
+                format!("accepted as {revision}, {copies} copies")
+            }
             Done::Bounced { why } => format!("bounced: {why}"),
             Done::Unknown { why } => format!("unknown: {why}"),
             _ => "told".into(),
@@ -1203,9 +1222,10 @@
     let top = w.seats.iter().filter(|s| s.up).map(|s| s.core.parts[0].shown_rev).max();
     let Some(top) = top else { return false };
     w.seats.iter().filter(|s| s.up).all(|s| s.core.parts[0].shown_rev == top)
-        && w.queriers.iter().filter(|q| q.up).all(|q| {
-            q.ready && q.watch.view.as_ref().is_some_and(|v| v.revision == top)
-        })
+        && w.queriers
+            .iter()
+            .filter(|q| q.up)
+            .all(|q| q.ready && q.watch.view.as_ref().is_some_and(|v| v.revision == top))
 }
 
 /// The configuration that most seats have committed.
--- a/crates/sim/tests/broken.rs
+++ b/crates/sim/tests/broken.rs
@@ -53,7 +53,8 @@
 
 #[test]
 fn work_for_a_leaving_leaf_or_an_emptied_zone_is_caught() {
-    let leave = at(2.0, json!({ "do": "leave-leafs", "service": "mohalla-notices-w48-0", "count": 2 }));
+    let leave =
+        at(2.0, json!({ "do": "leave-leafs", "service": "mohalla-notices-w48-0", "count": 2 }));
     case("leave", 7, Broken::IgnoreLeaving, vec![leave]);
     case("drain", 8, Broken::IgnoreDrain, vec![at(2.0, json!({ "do": "drain", "zone": "a" }))]);
 }
@@ -78,7 +79,9 @@
 fn too_many_second_tries_are_caught() {
     let slow = ["notices-w48-0", "notices-w48-1", "notices-w48-2", "notices-w48-3"]
         .iter()
-        .map(|s| at(3.0, json!({ "do": "leafs", "service": format!("mohalla-{s}"), "mode": "dark" })))
+        .map(|s| {
+            at(3.0, json!({ "do": "leafs", "service": format!("mohalla-{s}"), "mode": "dark" }))
+        })
         .collect();
     let s = common::scenario("retries", 18, 0.5, slow);
     let sound = play(&s, 7, None);
--- a/crates/sim/tests/chaos.rs
+++ b/crates/sim/tests/chaos.rs
@@ -17,8 +17,7 @@
             })
         })
         .collect();
-    let bad: Vec<String> =
-        threads.into_iter().flat_map(|t| t.join().unwrap()).flatten().collect();
+    let bad: Vec<String> = threads.into_iter().flat_map(|t| t.join().unwrap()).flatten().collect();
     assert!(bad.is_empty(), "{}", bad.join("\n"));
 }
 
@@ -29,7 +28,8 @@
     if w.rules.counts.is_empty() && settled {
         return None;
     }
-    let troubles: Vec<String> = s.troubles.iter().map(|t| format!("  {} ms {t}", t.at_ms)).collect();
+    let troubles: Vec<String> =
+        s.troubles.iter().map(|t| format!("  {} ms {t}", t.at_ms)).collect();
     let story = w.rules.story.join("\n");
     Some(format!(
         "seed {seed}, settled {settled}\n{}\n{}\n{story}",
--- a/crates/sim/tests/scenarios.rs
+++ b/crates/sim/tests/scenarios.rs
@@ -105,9 +105,15 @@
         {"at_s": 3, "do": "cut", "a": ["q9"], "b": ["all"]}]}"#;
     let all = read(text.as_bytes(), &common::load).err().unwrap();
     let places: Vec<&str> = all.iter().map(|f| f.place.as_str()).collect();
-    for want in ["seconds", "speed", "troubles[0].do", "troubles[1].at_s", "troubles[2].which",
-        "troubles[3].ms", "troubles[4].a"]
-    {
+    for want in [
+        "seconds",
+        "speed",
+        "troubles[0].do",
+        "troubles[1].at_s",
+        "troubles[2].which",
+        "troubles[3].ms",
+        "troubles[4].a",
+    ] {
         assert!(places.contains(&want), "{want} is not among {places:?}");
     }
 }
