Take ports below the ephemeral range in tests; read torn heads as torn

Cause 1: any_one_process_may_die failed once in a full run: a port that was looked up for a seed was handed by the system to another test's process before the controller bound it. Now all ports lie below that range and a lost race starts over. Cause 2: a log torn within a record's head and followed by zeros was reported as damage; found by the test of every cut. A file that ends in zeros is torn.

--- a/crates/grebe/src/disk/read.rs
+++ b/crates/grebe/src/disk/read.rs
@@ -177,8 +177,9 @@
     }
     let head = &raw[at..at + REC_HEAD];
     if crc32fast::hash(&head[..12]) != u32_at(head, 12) || u32_at(head, 4) != num {
-        // A torn write leaves zeros at the end of what it reached.
-        let torn = head[12..].iter().all(|b| *b == 0);
+        // A torn write leaves zeros behind what it reached; a whole record
+        // would end in its mark.
+        let torn = raw.last() == Some(&0);
         return if torn { Next::Torn } else { Next::Flipped };
     }
     let len = u32_at(head, 0);
--- a/crates/programs/src/proof/fleet.rs
+++ b/crates/programs/src/proof/fleet.rs
@@ -131,103 +131,98 @@
     }
 }
 
-/// The address behind a word of the line that a process printed.
-fn address(line: &str, word: &str) -> Result<SocketAddr, String> {
-    let mut words = line.split_whitespace().skip_while(|w| *w != word);
-    words.next();
-    words.next().and_then(|a| a.parse().ok()).ok_or(format!("no {word} in {line:?}"))
-}
-
-/// Ports that were free a moment ago. Seeds must be known before the
-/// controllers start, so port 0 is of no use for their inner addresses.
+/// Ports that are free now, all different. Seeds must be known before the
+/// controllers start, and a process that is started again wants its old port,
+/// so port 0 is of no use: the system would hand such a port to anyone in
+/// between. These lie below the range from which it hands out ports.
 fn free_ports(n: usize) -> Result<Vec<u16>, String> {
-    let socks: Result<Vec<_>, _> =
-        (0..n).map(|_| std::net::TcpListener::bind("127.0.0.1:0")).collect();
-    socks
-        .and_then(|s| s.iter().map(|s| s.local_addr().map(|a| a.port())).collect())
-        .map_err(|e| e.to_string())
+    let mut luck = grebe::luck::luck(runtime::clock::nonce());
+    let mut held = Vec::new();
+    for _ in 0..10_000 {
+        if held.len() == n {
+            break;
+        }
+        let port = 10_000 + grebe::luck::below(&mut luck, 20_000) as u16;
+        if let Ok(sock) = std::net::TcpListener::bind(("127.0.0.1", port)) {
+            held.push((port, sock));
+        }
+    }
+    let ports: Vec<u16> = held.iter().map(|(p, _)| *p).collect();
+    if ports.len() == n { Ok(ports) } else { Err("no free ports".into()) }
 }
 
 /// Starts everything and loads the deployment's configuration.
 pub async fn up(layout: Layout) -> Result<Fleet, String> {
+    let mut last = String::new();
+    // Another fleet may take a port between our look and our start.
+    for _ in 0..4 {
+        match processes(layout.clone()) {
+            Ok(fleet) => {
+                let conf = fleet.layout.deploy.join(format!("{}.json", fleet.layout.name));
+                let conf = std::fs::read(&conf).map_err(|e| format!("{}: {e}", conf.display()))?;
+                change(&fleet, Method::PUT, &conf, "first").await?;
+                return Ok(fleet);
+            }
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
+/// Starts all processes, or none.
+fn processes(layout: Layout) -> Result<Fleet, String> {
+    let _ = std::fs::remove_dir_all(&layout.dir);
     std::fs::create_dir_all(&layout.dir).map_err(|e| e.to_string())?;
-    let spec = layout.deploy.join(format!("{}.standins.json", layout.name));
-    let text = |v: &[&str]| v.iter().map(|s| s.to_string()).collect::<Vec<_>>();
-    let spec = spec.display().to_string();
-    let mut backs = proc(
-        &layout,
-        "backs",
-        "standin",
-        &text(&["backs", "--spec", &spec, "--listen", "127.0.0.1:0"]),
-    );
-    start(&mut backs)?;
-    let list = address(&backs.first, "list")?;
-    let ports = free_ports(3)?;
-    let seeds: Vec<String> = ports.iter().map(|p| format!("127.0.0.1:{p}")).collect();
-    let seeds = seeds.join(",");
+    let ports = free_ports(7 + 2 * layout.queriers)?;
+    let addrs: Vec<SocketAddr> =
+        ports.iter().map(|p| SocketAddr::from(([127, 0, 0, 1], *p))).collect();
+    let (list, seeds, doors) = (addrs[0], &addrs[1..4], addrs[4..7].to_vec());
+    let (fronts, inners) = addrs[7..].split_at(layout.queriers);
+    let texts: Vec<String> = seeds.iter().map(|a| a.to_string()).collect();
     let zones = sim::backs::ZONES;
-    let (mut seats, mut doors) = (Vec::new(), Vec::new());
-    for (i, port) in ports.iter().enumerate() {
-        let data = layout.dir.join(format!("seat-{i}")).display().to_string();
-        let inner = format!("127.0.0.1:{port}");
-        let args = text(&[
-            "--seat",
-            &i.to_string(),
-            "--zone",
-            zones[i],
-            "--listen",
-            "127.0.0.1:0",
-            "--inner",
-            &inner,
-            "--seeds",
-            &seeds,
-            "--data",
-            &data,
-        ]);
-        let mut p = proc(&layout, &format!("controller-{i}"), "controller", &args);
-        start(&mut p)?;
-        let door = address(&p.first, "door")?;
-        // It keeps its door when it is started again.
-        p.args = p
-            .args
-            .iter()
-            .map(|a| if a == "127.0.0.1:0" { door.to_string() } else { a.clone() })
-            .collect();
-        doors.push(door);
-        seats.push(p);
+    let spec = layout.deploy.join(format!("{}.standins.json", layout.name)).display().to_string();
+    let args = [("spec", spec), ("listen", list.to_string())];
+    let backs = proc(&layout, "backs", "standin", &flags(&["backs"], &args));
+    let seats = (0..seeds.len())
+        .map(|i| {
+            let args = [
+                ("seat", i.to_string()),
+                ("zone", zones[i].to_string()),
+                ("listen", doors[i].to_string()),
+                ("inner", texts[i].clone()),
+                ("seeds", texts.join(",")),
+                ("data", layout.dir.join(format!("seat-{i}")).display().to_string()),
+            ];
+            proc(&layout, &format!("controller-{i}"), "controller", &flags(&[], &args))
+        })
+        .collect();
+    let queriers = (0..layout.queriers)
+        .map(|i| {
+            let args = [
+                ("name", format!("q{i}")),
+                ("zone", zones[i % zones.len()].to_string()),
+                ("listen", fronts[i].to_string()),
+                ("inner", inners[i].to_string()),
+                ("seeds", texts.join(",")),
+                ("list", list.to_string()),
+            ];
+            proc(&layout, &format!("querier-{i}"), "querier", &flags(&[], &args))
+        })
+        .collect();
+    let (http, fronts) = (runtime::http::client(16), fronts.to_vec());
+    let mut fleet = Fleet { layout, backs, seats, queriers, list, doors, fronts, http };
+    let Fleet { backs, seats, queriers, .. } = &mut fleet;
+    for p in [backs].into_iter().chain(seats).chain(queriers) {
+        start(p)?;
     }
-    let (mut queriers, mut fronts) = (Vec::new(), Vec::new());
-    for i in 0..layout.queriers {
-        let args = text(&[
-            "--name",
-            &format!("q{i}"),
-            "--zone",
-            zones[i % 3],
-            "--listen",
-            "127.0.0.1:0",
-            "--inner",
-            "127.0.0.1:0",
-            "--seeds",
-            &seeds,
-            "--list",
-            &list.to_string(),
-        ]);
-        let mut p = proc(&layout, &format!("querier-{i}"), "querier", &args);
-        start(&mut p)?;
-        let front = address(&p.first, "door")?;
-        let at = p.args.iter().position(|a| a == "--listen").map_or(0, |n| n + 1);
-        p.args[at] = front.to_string();
-        fronts.push(front);
-        queriers.push(p);
-    }
-    let http = runtime::http::client(16);
-    let fleet = Fleet { layout, backs, seats, queriers, list, doors, fronts, http };
-    let conf = fleet.layout.deploy.join(format!("{}.json", fleet.layout.name));
-    let conf = std::fs::read(&conf).map_err(|e| format!("{}: {e}", conf.display()))?;
-    change(&fleet, Method::PUT, &conf, "first").await?;
     Ok(fleet)
 }
 
+fn flags(first: &[&str], pairs: &[(&str, String)]) -> Vec<String> {
+    let pairs = pairs.iter().flat_map(|(name, val)| [format!("--{name}"), val.clone()]);
+    first.iter().map(|s| s.to_string()).chain(pairs).collect()
+}
+
 /// Sends one small request; gives status and JSON.
 pub async fn request(
     http: &Http,
