Try wires on real processes: strangers, a frozen querier, one cut off alone

Cause: cuts and pauses were only simulated. Relays stand before one querier's ways; cut from core and list alone it keeps its tenure and its news through neighbours, cut from all it turns not ready, bounces, and comes back obeying. A querier stopped by signal never answers by the old configuration on waking.

--- a/crates/grebe/src/wire/msg.rs
+++ b/crates/grebe/src/wire/msg.rs
@@ -110,8 +110,11 @@
 
 #[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
 pub enum Msg {
+    /// `fleet` is a hash of the seeds: an address may be reused by another
+    /// fleet, and its words must not be taken for ours.
     Hello {
         who: Who,
+        fleet: u64,
     },
 
     // ---- replica groups, between seats ----
--- a/crates/programs/src/controller/owner.rs
+++ b/crates/programs/src/controller/owner.rs
@@ -57,7 +57,8 @@
     inner.set_nonblocking(true)?;
     let inner = tokio::net::TcpListener::from_std(inner)?;
     let (wire_tx, mut wire_rx) = tokio::sync::mpsc::unbounded_channel();
-    tokio::task::spawn_local(accept(inner, wire_tx.clone()));
+    let fleet = p.fleet;
+    tokio::task::spawn_local(accept(inner, fleet, wire_tx.clone()));
     let mut core = core(p.seat, found, runtime::clock::nonce(), now(&clock));
     let seats = p
         .seeds
@@ -65,7 +66,7 @@
         .enumerate()
         .map(|(i, addr)| {
             let other = i != usize::from(p.seat);
-            other.then(|| dial(*addr, Who::Seat(p.seat), i as u8, wire_tx.clone()))
+            other.then(|| dial(*addr, (Who::Seat(p.seat), fleet), i as u8, wire_tx.clone()))
         })
         .collect();
     let mut io = Io { seats, wires: HashMap::new(), disk, tells: HashMap::new(), next_op: 1 };
--- a/crates/programs/src/controller/params.rs
+++ b/crates/programs/src/controller/params.rs
@@ -21,6 +21,8 @@
     /// Inner addresses of the three controllers, in the order of their seats.
     pub seeds: Vec<SocketAddr>,
     pub data: PathBuf,
+    /// The fleet it belongs to; a number that all its processes share.
+    pub fleet: u64,
 }
 
 struct Flags {
@@ -31,6 +33,7 @@
     inner: Option<String>,
     seeds: Option<String>,
     data: Option<String>,
+    fleet: Option<String>,
 }
 
 fn flags() -> OptionParser<Flags> {
@@ -47,7 +50,11 @@
         .argument("IP:PORT,..")
         .optional();
     let data = long("data").help("folder for this controller's files").argument("DIR").optional();
-    bpaf::construct!(Flags { file, seat, zone, listen, inner, seeds, data })
+    let fleet = long("fleet")
+        .help("the fleet's name; by default it is known by its seeds")
+        .argument("NAME")
+        .optional();
+    bpaf::construct!(Flags { file, seat, zone, listen, inner, seeds, data, fleet })
         .to_options()
         .descr("grebepath's control plane")
 }
@@ -68,15 +75,18 @@
         ("inner", f.inner),
         ("seeds", f.seeds),
         ("data", f.data),
+        ("fleet", f.fleet),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
     let seat = p::number(&mut r, "seat", 0, SEATS as u64 - 1, None) as u8;
+    let seeds = p::addrs(&mut r, "seeds", SEATS);
     let out = Params {
         seat,
+        fleet: p::fleet(&mut r, &seeds),
         zone: p::name(&mut r, "zone"),
         listen: p::addr(&mut r, "listen"),
         inner: p::addr(&mut r, "inner"),
-        seeds: p::addrs(&mut r, "seeds", SEATS),
+        seeds,
         data: PathBuf::from(p::text(&mut r, "data", None)),
     };
     if let Some(seed) = out.seeds.get(usize::from(seat))
--- a/crates/programs/src/proof/fleet.rs
+++ b/crates/programs/src/proof/fleet.rs
@@ -153,10 +153,19 @@
 
 /// Starts everything and loads the deployment's configuration.
 pub async fn up(layout: Layout) -> Result<Fleet, String> {
+    up_with(layout, async |_| Err(std::io::Error::other("no relay"))).await
+}
+
+/// Like `up`; the last querier reaches controllers, list and the other queriers
+/// only through addresses that `relay` gives for theirs, and is reached so.
+pub async fn up_with(
+    layout: Layout,
+    mut relay: impl AsyncFnMut(SocketAddr) -> std::io::Result<SocketAddr>,
+) -> Result<Fleet, String> {
     let mut last = String::new();
     // Another fleet may take a port between our look and our start.
     for _ in 0..4 {
-        match processes(layout.clone()) {
+        match processes(layout.clone(), &mut relay).await {
             Ok(fleet) => {
                 let conf = fleet.layout.deploy.join(format!("{}.json", fleet.layout.name));
                 let conf = std::fs::read(&conf).map_err(|e| format!("{}: {e}", conf.display()))?;
@@ -170,7 +179,10 @@
 }
 
 /// Starts all processes, or none.
-fn processes(layout: Layout) -> Result<Fleet, String> {
+async fn processes(
+    layout: Layout,
+    relay: &mut impl AsyncFnMut(SocketAddr) -> std::io::Result<SocketAddr>,
+) -> Result<Fleet, String> {
     let _ = std::fs::remove_dir_all(&layout.dir);
     std::fs::create_dir_all(&layout.dir).map_err(|e| e.to_string())?;
     let ports = free_ports(7 + 2 * layout.queriers)?;
@@ -180,6 +192,7 @@
     let (fronts, inners) = addrs[7..].split_at(layout.queriers);
     let texts: Vec<String> = seeds.iter().map(|a| a.to_string()).collect();
     let zones = sim::backs::ZONES;
+    let fleet = layout.dir.file_name().map_or("test".into(), |n| n.display().to_string());
     let spec = layout.deploy.join(format!("{}.standins.json", layout.name)).display().to_string();
     let args = [("spec", spec), ("listen", list.to_string())];
     let backs = proc(&layout, "backs", "standin", &flags(&["backs"], &args));
@@ -187,6 +200,7 @@
         .map(|i| {
             let args = [
                 ("seat", i.to_string()),
+                ("fleet", fleet.clone()),
                 ("zone", zones[i].to_string()),
                 ("listen", doors[i].to_string()),
                 ("inner", texts[i].clone()),
@@ -196,19 +210,27 @@
             proc(&layout, &format!("controller-{i}"), "controller", &flags(&[], &args))
         })
         .collect();
-    let queriers = (0..layout.queriers)
-        .map(|i| {
-            let args = [
-                ("name", format!("q{i}")),
-                ("zone", zones[i % zones.len()].to_string()),
-                ("listen", fronts[i].to_string()),
-                ("inner", inners[i].to_string()),
-                ("seeds", texts.join(",")),
-                ("list", list.to_string()),
-            ];
-            proc(&layout, &format!("querier-{i}"), "querier", &flags(&[], &args))
-        })
-        .collect();
+    let mut queriers = Vec::new();
+    for i in 0..layout.queriers {
+        let mut ways = [seeds[0], seeds[1], seeds[2], list, inners[i]];
+        if i + 1 == layout.queriers {
+            for way in &mut ways {
+                *way = relay(*way).await.unwrap_or(*way);
+            }
+        }
+        let texts = ways.map(|w| w.to_string());
+        let args = [
+            ("name", format!("q{i}")),
+            ("fleet", fleet.clone()),
+            ("zone", zones[i % zones.len()].to_string()),
+            ("listen", fronts[i].to_string()),
+            ("inner", inners[i].to_string()),
+            ("seeds", texts[..3].join(",")),
+            ("list", texts[3].clone()),
+            ("advertise", texts[4].clone()),
+        ];
+        queriers.push(proc(&layout, &format!("querier-{i}"), "querier", &flags(&[], &args)));
+    }
     let (http, fronts) = (runtime::http::client(16), fronts.to_vec());
     let mut fleet = Fleet { layout, backs, seats, queriers, list, doors, fronts, http };
     let Fleet { backs, seats, queriers, .. } = &mut fleet;
--- a/crates/programs/src/proof/mod.rs
+++ b/crates/programs/src/proof/mod.rs
@@ -5,3 +5,4 @@
 pub mod callers;
 pub mod control;
 pub mod fleet;
+pub mod relay;
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -45,6 +45,7 @@
 
 struct Io {
     me: String,
+    fleet: u64,
     seats: Vec<Out>,
     members: HashMap<String, (SocketAddr, Out)>,
     desks: Vec<UnboundedSender<Work>>,
@@ -71,16 +72,17 @@
     let addr = inner.local_addr()?;
     let inner = tokio::net::TcpListener::from_std(inner)?;
     let (wire_tx, mut wire_rx) = tokio::sync::mpsc::unbounded_channel();
-    tokio::task::spawn_local(accept(inner, wire_tx.clone()));
+    let fleet = p.fleet;
+    tokio::task::spawn_local(accept(inner, fleet, wire_tx.clone()));
     let me = Member {
         name: p.name.clone(),
-        addr: addr.to_string(),
+        addr: p.advertise.unwrap_or(addr).to_string(),
         zone: p.zone.clone(),
         threads: p.threads,
         joined: 0,
     };
     let mut w = watch(me, now(&clock));
-    let who = || Who::Member(p.name.clone());
+    let who = || (Who::Member(p.name.clone()), fleet);
     let seats = p
         .seeds
         .iter()
@@ -89,6 +91,7 @@
         .collect();
     let mut io = Io {
         me: p.name.clone(),
+        fleet,
         seats,
         members: HashMap::new(),
         desks,
@@ -220,7 +223,7 @@
     let Ok(addr) = addr.parse::<SocketAddr>() else { return };
     let known = io.members.get(&name).is_some_and(|(a, _)| *a == addr);
     if !known {
-        let who = Who::Member(io.me.clone());
+        let who = (Who::Member(io.me.clone()), io.fleet);
         let out = dial(addr, who, Tag::Member(name.clone()), io.wires.clone());
         io.members.insert(name.clone(), (addr, out));
     }
--- a/crates/programs/src/querier/params.rs
+++ b/crates/programs/src/querier/params.rs
@@ -13,8 +13,12 @@
     pub zone: String,
     /// Where callers reach it.
     pub listen: SocketAddr,
-    /// Where its cohort reaches it.
+    /// Where it listens for its cohort.
     pub inner: SocketAddr,
+    /// Where its cohort reaches it, if that is another address.
+    pub advertise: Option<SocketAddr>,
+    /// The fleet it belongs to; a number that all its processes share.
+    pub fleet: u64,
     /// Inner addresses of the three controllers, in the order of their seats.
     pub seeds: Vec<SocketAddr>,
     /// Where the platform serves its list of leafs.
@@ -28,6 +32,8 @@
     zone: Option<String>,
     listen: Option<String>,
     inner: Option<String>,
+    advertise: Option<String>,
+    fleet: Option<String>,
     seeds: Option<String>,
     list: Option<String>,
     threads: Option<String>,
@@ -48,9 +54,28 @@
     let list =
         long("list").help("address of the platform's list of leafs").argument("IP:PORT").optional();
     let threads = long("threads").help("threads for traffic (1)").argument("N").optional();
-    bpaf::construct!(Flags { file, name, zone, listen, inner, seeds, list, threads })
-        .to_options()
-        .descr("grebepath's data plane")
+    let advertise = long("advertise")
+        .help("the inner address that others should use, if it is another")
+        .argument("IP:PORT")
+        .optional();
+    let fleet = long("fleet")
+        .help("the fleet's name; by default it is known by its seeds")
+        .argument("NAME")
+        .optional();
+    bpaf::construct!(Flags {
+        file,
+        name,
+        zone,
+        listen,
+        inner,
+        advertise,
+        fleet,
+        seeds,
+        list,
+        threads
+    })
+    .to_options()
+    .descr("grebepath's data plane")
 }
 
 /// Reads and checks; ends the process with 2 if anything is wrong.
@@ -67,17 +92,22 @@
         ("zone", f.zone),
         ("listen", f.listen),
         ("inner", f.inner),
+        ("advertise", f.advertise),
+        ("fleet", f.fleet),
         ("seeds", f.seeds),
         ("list", f.list),
         ("threads", f.threads),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
+    let seeds = p::addrs(&mut r, "seeds", SEATS);
     let out = Params {
         name: p::name(&mut r, "name"),
+        fleet: p::fleet(&mut r, &seeds),
+        advertise: p::maybe_addr(&mut r, "advertise"),
         zone: p::name(&mut r, "zone"),
         listen: p::addr(&mut r, "listen"),
         inner: p::addr(&mut r, "inner"),
-        seeds: p::addrs(&mut r, "seeds", SEATS),
+        seeds,
         list: p::addr(&mut r, "list"),
         threads: p::number(&mut r, "threads", 1, 64, Some(1)) as u32,
     };
--- /dev/null
+++ b/crates/programs/tests/wires.rs
@@ -0,0 +1,197 @@
+//! Wires between processes: a stranger, a frozen process, a cut wire.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use grebe::names::CONFIG;
+use grebe::wire::frame;
+use grebe::wire::msg::{Msg, Place, Who};
+use hyper::Method;
+use proof::fleet::{self, Fleet, Layout};
+use proof::relay::Relay;
+use runtime::wire::{WireEvent, accept, dial, send};
+use serde_json::json;
+
+/// How long anything may take that is only waited for.
+const LONG: Duration = Duration::from_secs(20);
+
+fn layout(test: &str) -> Layout {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let bin = PathBuf::from(env!("CARGO_BIN_EXE_controller")).parent().unwrap().to_path_buf();
+    let deploy = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    Layout { bin, dir, deploy, name: "mohalla".into(), queriers: 3 }
+}
+
+/// Runs a test's body on one thread, as the daemons do.
+fn block<F: Future>(body: F) -> F::Output {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&rt, body)
+}
+
+fn follow(rev: u64) -> Msg {
+    Msg::Follow { places: vec![Place { part: CONFIG, rev }] }
+}
+
+#[googletest::test]
+fn a_wire_of_another_fleet_is_closed_and_ours_is_dialled_anew() {
+    block(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel::<WireEvent<u8>>();
+        let task = tokio::task::spawn_local(accept(listener, 7, tx));
+        let (dial_tx, _dial_rx) = tokio::sync::mpsc::unbounded_channel();
+        let stranger = dial(addr, (Who::Seat(1), 8), 1u8, dial_tx.clone());
+        send(&stranger, &follow(1));
+        let Some(WireEvent::Trouble { text }) = rx.recv().await else { panic!("taken") };
+        expect_that!(text, contains_substring("another fleet"));
+        drop(stranger);
+        let ours = dial(addr, (Who::Seat(2), 7), 2u8, dial_tx.clone());
+        let mut wires = Vec::new();
+        // The stranger may have dialled again before it was dropped.
+        while wires.len() < 2 {
+            match rx.recv().await.unwrap() {
+                WireEvent::Opened { wire, who, .. } => {
+                    expect_that!(who, eq(&Who::Seat(2)));
+                    wires.push(wire);
+                    send(&ours, &follow(wires.len() as u64));
+                }
+                WireEvent::Came { who, msg, wire } => {
+                    expect_that!((who, wire), eq(&(Who::Seat(2), wires[0])));
+                    expect_that!(msg, eq(&follow(1)));
+                    // Garbage on a wire of its own ends that wire alone.
+                    let mut raw = tokio::net::TcpStream::connect(addr).await.unwrap();
+                    let bytes = frame::pieces(&frame::write(&follow(3)));
+                    tokio::io::AsyncWriteExt::write_all(&mut raw, &bytes[0][3..]).await.unwrap();
+                    wires.push(0);
+                }
+                _ => {}
+            }
+        }
+        task.abort();
+    });
+}
+
+async fn all_ready(f: &Fleet) {
+    for i in 0..f.queriers.len() {
+        assert!(fleet::until(LONG, || fleet::ready(f, i)).await, "querier {i} is not ready");
+    }
+}
+
+async fn ask(f: &Fleet, i: usize) -> Option<(u16, serde_json::Value)> {
+    let url = format!("http://{}/v1/search/browse", f.fronts[i]);
+    let body = json!({ "question": "q", "limit": 3 }).to_string().into_bytes();
+    fleet::request(&f.http, Method::POST, url, body, &[("budget-ms", "900")]).await.ok()
+}
+
+#[googletest::test]
+fn a_frozen_querier_wakes_and_never_answers_by_the_old_configuration() {
+    block(async {
+        let f = fleet::up(layout("frozen")).await.unwrap();
+        all_ready(&f).await;
+        fleet::signal(&f.queriers[1], "STOP").unwrap();
+        // Accepted without the frozen one: the two others are most.
+        let val = json!({ "zones": [{ "name": "later", "state": "open" }] });
+        let rev = fleet::patch(&f, &val, "later").await.unwrap();
+        // The core lets the frozen one go; then its old view is out of date.
+        let gone = || async {
+            fleet::status(&f, 0)
+                .await
+                .is_ok_and(|s| s["cohort"]["members"].as_array().is_some_and(|m| m.len() == 2))
+        };
+        assert!(fleet::until(LONG, gone).await);
+        // Calls that wait at its door when it wakes.
+        let calls: Vec<_> = (0..8).map(|_| ask(&f, 1)).collect();
+        let woken = async {
+            tokio::task::yield_now().await;
+            fleet::signal(&f.queriers[1], "CONT").unwrap();
+        };
+        let (answers, ()) = tokio::join!(all(calls), woken);
+        for (code, val) in answers.into_iter().flatten() {
+            if code == 200 {
+                expect_that!(val["revision"].as_u64(), ge(Some(rev)));
+            } else {
+                expect_that!(val["error"].as_str(), some(eq("cut-off")));
+            }
+        }
+        assert!(fleet::until(LONG, || fleet::ready(&f, 1)).await);
+        expect_that!(ask(&f, 1).await.unwrap().1["revision"].as_u64(), ge(Some(rev)));
+    });
+}
+
+/// All answers, asked at once.
+async fn all<F: Future>(list: Vec<F>) -> Vec<F::Output> {
+    let mut list: Vec<_> = list.into_iter().map(Box::pin).collect();
+    let mut out = Vec::new();
+    // Each is polled from the first await on, since all share one thread.
+    let mut left: Vec<_> = list.drain(..).collect();
+    while !left.is_empty() {
+        let (got, rest) = first(left).await;
+        out.push(got);
+        left = rest;
+    }
+    out
+}
+
+/// The first of several to be done, and the rest.
+async fn first<F: Future + Unpin>(mut list: Vec<F>) -> (F::Output, Vec<F>) {
+    let (at, got) = std::future::poll_fn(|cx| {
+        for (i, f) in list.iter_mut().enumerate() {
+            if let std::task::Poll::Ready(got) = std::pin::Pin::new(f).poll(cx) {
+                return std::task::Poll::Ready((i, got));
+            }
+        }
+        std::task::Poll::Pending
+    })
+    .await;
+    drop(list.remove(at));
+    (got, list)
+}
+
+#[googletest::test]
+fn a_querier_cut_off_alone_steps_aside_and_comes_back() {
+    block(async {
+        // All that the last querier says to and hears from the others passes
+        // through relays, which can be cut.
+        let mut relays: Vec<Relay> = Vec::new();
+        let f = fleet::up_with(layout("cut"), async |wanted: SocketAddr| {
+            let relay = Relay::open(wanted).await?;
+            let addr = relay.addr;
+            relays.push(relay);
+            Ok(addr)
+        })
+        .await
+        .unwrap();
+        all_ready(&f).await;
+        expect_that!(ask(&f, 2).await.unwrap().0, eq(200));
+        // Only the ways to core and list are cut: neighbours hand renewals over
+        // and news on, and the node serves by the newest configuration.
+        for relay in &relays[..4] {
+            relay.cut(true);
+        }
+        let val = json!({ "zones": [{ "name": "early", "state": "open" }] });
+        let rev = fleet::patch(&f, &val, "early").await.unwrap();
+        let obeys = || async { fleet::obeyed(&f, 2).await.is_some_and(|r| r >= rev) };
+        assert!(fleet::until(LONG, obeys).await, "no news came by the cohort");
+        expect_that!(ask(&f, 2).await.unwrap().0, eq(200));
+        // Now nobody reaches it.
+        relays[4].cut(true);
+        let begun = Instant::now();
+        assert!(fleet::until(LONG, || async { !fleet::ready(&f, 2).await }).await);
+        // First not ready, then bouncing; the others go on.
+        let bounced = || async {
+            ask(&f, 2).await.is_some_and(|(code, val)| code == 503 && val["error"] == "cut-off")
+        };
+        assert!(fleet::until(LONG, bounced).await);
+        expect_that!(begun.elapsed(), lt(Duration::from_secs(4)));
+        let val = json!({ "zones": [{ "name": "later", "state": "open" }] });
+        let rev = fleet::patch(&f, &val, "later").await.unwrap();
+        expect_that!(ask(&f, 0).await.unwrap().0, eq(200));
+        for relay in &relays {
+            relay.cut(false);
+        }
+        assert!(fleet::until(LONG, || fleet::ready(&f, 2)).await);
+        expect_that!(ask(&f, 2).await.unwrap().1["revision"].as_u64(), ge(Some(rev)));
+    });
+}
--- a/crates/runtime/src/params.rs
+++ b/crates/runtime/src/params.rs
@@ -118,6 +118,20 @@
     }
 }
 
+/// An address by IP number that may be absent.
+pub fn maybe_addr(r: &mut Reader, name: &'static str) -> Option<SocketAddr> {
+    let val = maybe(r, name)?;
+    Some(one_addr(r, name, &val))
+}
+
+/// The number of a fleet: of its name, or else of its seeds in their order.
+pub fn fleet(r: &mut Reader, seeds: &[SocketAddr]) -> u64 {
+    match maybe(r, "fleet") {
+        Some(name) => grebe::digest::hash(&name),
+        None => grebe::digest::fleet(seeds),
+    }
+}
+
 /// Exactly `n` different addresses, separated by commas.
 pub fn addrs(r: &mut Reader, name: &'static str, n: usize) -> Vec<SocketAddr> {
     let val = text(r, name, None);
--- a/crates/runtime/src/wire.rs
+++ b/crates/runtime/src/wire.rs
@@ -58,18 +58,18 @@
 /// passes on what comes. Ends when the last `Out` is dropped.
 pub fn dial<T: Clone + 'static>(
     addr: SocketAddr,
-    who: Who,
+    (who, fleet): (Who, u64),
     tag: T,
     events: UnboundedSender<WireEvent<T>>,
 ) -> Out {
     let (tx, rx) = channel(WIRE_BUFFER);
-    tokio::task::spawn_local(keep(addr, who, tag, events, rx));
+    tokio::task::spawn_local(keep(addr, (who, fleet), tag, events, rx));
     Out { tx }
 }
 
 async fn keep<T: Clone + 'static>(
     addr: SocketAddr,
-    who: Who,
+    (who, fleet): (Who, u64),
     tag: T,
     events: UnboundedSender<WireEvent<T>>,
     mut rx: Receiver<Vec<u8>>,
@@ -86,7 +86,7 @@
             let reading = reading(read, move |msg| {
                 tell.send(WireEvent::Dialled { tag: tag.clone(), msg }).is_ok()
             });
-            let hello = frame::write(&Msg::Hello { who: who.clone() });
+            let hello = frame::write(&Msg::Hello { who: who.clone(), fleet });
             tokio::select! {
                 end = reading => note(&events, addr, end),
                 _ = writing(write, &mut rx, Some(hello)) => {}
@@ -106,7 +106,11 @@
 }
 
 /// Takes wires that others open, until the owner is gone.
-pub async fn accept<T: 'static>(listener: TcpListener, events: UnboundedSender<WireEvent<T>>) {
+pub async fn accept<T: 'static>(
+    listener: TcpListener,
+    fleet: u64,
+    events: UnboundedSender<WireEvent<T>>,
+) {
     let mut next = 0u64;
     loop {
         let Ok((stream, addr)) = listener.accept().await else {
@@ -119,14 +123,14 @@
         }
         next += 1;
         let _ = stream.set_nodelay(true);
-        tokio::task::spawn_local(opened(stream, addr, next, events.clone()));
+        tokio::task::spawn_local(opened(stream, addr, (next, fleet), events.clone()));
     }
 }
 
 async fn opened<T: 'static>(
     stream: TcpStream,
     addr: SocketAddr,
-    wire: u64,
+    (wire, fleet): (u64, u64),
     events: UnboundedSender<WireEvent<T>>,
 ) {
     let (read, write) = stream.into_split();
@@ -135,7 +139,12 @@
     let tell = events.clone();
     let reading = reading(read, move |msg| {
         let event = match (&who, msg) {
-            (None, Msg::Hello { who: w }) => {
+            (None, Msg::Hello { fleet: f, .. }) if f != fleet => {
+                let text = format!("wire from {addr}: it belongs to another fleet");
+                let _ = tell.send(WireEvent::Trouble { text });
+                return false;
+            }
+            (None, Msg::Hello { who: w, .. }) => {
                 who = Some(w.clone());
                 WireEvent::Opened { wire, who: w, out: Out { tx: tx.clone() } }
             }
