--- a/crates/grebe/src/cohort/news.rs
+++ b/crates/grebe/src/cohort/news.rs
@@ -99,10 +99,12 @@
 
 /// Gives out a new view if what we hold has changed.
 pub fn publish(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
-    if !w.sure || !w.stale {
+    let moved = w.view.as_ref().is_none_or(|v| v.revision != w.built_rev);
+    if !w.sure || !w.stale || (!moved && now < w.publish_at) {
         return;
     }
     w.stale = false;
+    w.publish_at = now + consts::VIEW_GAP;
     let list = parts()
         .filter(|p| *p != CONFIG)
         .filter_map(|p| w.held.get(&p))
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -29,7 +29,11 @@
     pub built: Arc<Built>,
     pub built_rev: u64,
     pub view: Option<Arc<View>>,
+    /// What we hold differs from `view`.
     pub stale: bool,
+    /// When news of services is next made into a view; that of the
+    /// configuration is at once.
+    pub publish_at: Tick,
     pub cohort: Cohort,
     pub shared: Vec<(String, u32)>,
     pub tenure: Tenure,
@@ -173,6 +177,7 @@
         built_rev: 0,
         view: None,
         stale: false,
+        publish_at: now,
         cohort: Cohort::default(),
         shared: Vec::new(),
         tenure: Tenure::default(),
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -98,6 +98,9 @@
 pub const LONE_NOTICE: Span = ms(1_600);
 /// How often a querier asks the core for news it may have missed.
 pub const FOLLOW_BEAT: Span = ms(400);
+/// Least time between two views that differ in leafs only: a burst of changes
+/// to a large pool must not keep a light front busy building views.
+pub const VIEW_GAP: Span = ms(100);
 /// A starting querier that heard fewer than two seats waits this long
 /// before it takes its view from a ready cohort member alone.
 pub const START_PATIENCE: Span = 3 * SECOND;
--- a/crates/sim/src/net.rs
+++ b/crates/sim/src/net.rs
@@ -4,6 +4,7 @@
 
 use grebe::luck::{Luck, below, chance};
 use grebe::time::{Span, Tick};
+use grebe::wire::msg::Msg;
 
 /// A machine on the net.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -29,6 +30,19 @@
     last: BTreeMap<(Node, Node), Tick>,
     pub sent: u64,
     pub lost: u64,
+    /// Messages and bytes by kind and by what carries them, if they are weighed.
+    pub weights: Option<BTreeMap<String, (u64, u64)>>,
+}
+
+/// Weighs a message, if messages are weighed.
+pub fn weigh(net: &mut Net, way: &str, msg: &Msg) {
+    if let Some(all) = &mut net.weights {
+        let text = format!("{msg:?}");
+        let kind = text.split([' ', '(', '{']).next().unwrap_or_default();
+        let cell = all.entry(format!("{way} {kind}")).or_default();
+        cell.0 += 1;
+        cell.1 += grebe::wire::frame::write(msg).len() as u64;
+    }
 }
 
 /// One way between two zones, in microseconds.
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -407,6 +407,11 @@
 
 /// Runs a scenario to its end.
 pub fn play(s: &Scenario, seed: u64, broken: Option<world::Broken>) -> World {
+    play_weighed(s, seed, broken, false)
+}
+
+/// `play`, with messages weighed from the moment the fleet has come up.
+pub fn play_weighed(s: &Scenario, seed: u64, broken: Option<world::Broken>, weigh: bool) -> World {
     let mut w = world::world(&s.spec, s.queriers, seed);
     w.broken = broken;
     world::order(&mut w, ms(200), world::whole(&s.config));
@@ -415,6 +420,7 @@
         world::settled(w) && !w.orders.is_empty() && w.orders[0].done.is_some()
     });
     world::run(&mut w, 2 * SECOND);
+    w.net.weights = weigh.then(Default::default);
     let troubles = s.troubles.clone();
     world::plan(&mut w, troubles);
     world::begin_calls(&mut w, s.factor);
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -25,7 +25,7 @@
 
 use crate::backs::{self, Alive, VBacks, ZONES};
 use crate::check::{Asked, success};
-use crate::net::{Net, Node, latency, send};
+use crate::net::{Net, Node, latency, send, weigh};
 use crate::rules::{self, Rules};
 use crate::spec::{Kind, Spec};
 use crate::vdisk::{self, Disk, Health, Job};
@@ -513,6 +513,7 @@
     let zone = ZONES[s];
     match command {
         st::Command::ToSeat { seat, msg } => {
+            weigh(&mut w.net, "seat-seat", &msg);
             let (to, pair) = (usize::from(seat), (Node::Seat(s as u8), Node::Seat(seat)));
             let at = send(&mut w.net, w.now, (pair.0, zone), (pair.1, ZONES[to]), &mut w.luck);
             if let Some(at) = at {
@@ -522,6 +523,7 @@
             }
         }
         st::Command::ToWire { wire, msg } => {
+            weigh(&mut w.net, "seat-querier", &msg);
             let (q, qlife) = ((wire >> 32) as usize, wire & 0xffff_ffff);
             let to = (Node::Querier(q), w.queriers[q].zone.clone());
             let from = (Node::Seat(s as u8), zone);
@@ -641,6 +643,7 @@
     let zone = w.queriers[q].zone.clone();
     match command {
         wat::Command::ToSeat { seat, msg } => {
+            weigh(&mut w.net, "querier-seat", &msg);
             let s = usize::from(seat);
             let from = (Node::Querier(q), zone.as_str());
             let at = send(&mut w.net, w.now, from, (Node::Seat(seat), ZONES[s]), &mut w.luck);
@@ -651,6 +654,7 @@
             }
         }
         wat::Command::ToMember { name, msg, .. } => {
+            weigh(&mut w.net, "querier-querier", &msg);
             let Some(to) = w.queriers.iter().position(|n| n.name == name) else { return };
             let tozone = w.queriers[to].zone.clone();
             let from = (Node::Querier(q), zone.as_str());
