--- a/crates/grebe/src/cohort/duty.rs
+++ b/crates/grebe/src/cohort/duty.rs
@@ -118,8 +118,15 @@
     let Some(view) = w.view.clone() else { return };
     w.words.retain(|_, h| !shown(&view, &h.word));
     let mut due: BTreeMap<PartId, Vec<Word>> = BTreeMap::new();
+    // An age can wait for others; that a leaf leaves or is gone can't.
+    let ages = now >= w.ages_at;
+    if ages {
+        w.ages_at = now + consts::REPORT_AGAIN;
+    }
     for heard in w.words.values_mut() {
-        if heard.sent == 0 || since(heard.sent, now) >= consts::REPORT_AGAIN {
+        let urgent = heard.word.leaving || heard.word.gone;
+        let due_now = heard.sent == 0 || since(heard.sent, now) >= consts::REPORT_AGAIN;
+        if due_now && (urgent || ages) {
             heard.sent = now.max(1);
             due.entry(part_of(&heard.service)).or_default().push(heard.word.clone());
         }
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -56,6 +56,8 @@
     pub gossip_at: Tick,
     pub list_at: Tick,
     pub probe_at: Tick,
+    /// When words that tell an age alone are next sent, all together.
+    pub ages_at: Tick,
     /// What leafs said of themselves that our view does not show yet.
     pub words: BTreeMap<String, Heard>,
     /// Members whose renewals we handed over.
@@ -194,6 +196,7 @@
         gossip_at: now,
         list_at: now,
         probe_at: now,
+        ages_at: now,
         words: BTreeMap::new(),
         handed: BTreeMap::new(),
         counts: Counts::default(),
