--- a/crates/programs/src/proof/fleet.rs
+++ b/crates/programs/src/proof/fleet.rs
@@ -324,11 +324,16 @@
     metric(f, f.fronts[i], "grebe_revision").await
 }
 
+/// A text, such as that of a process's metrics.
+pub async fn text(http: &Http, url: String) -> Option<String> {
+    let req = Request::get(url).body(Full::default()).ok()?;
+    let resp = call_within(http, req, 1 << 20, Duration::from_secs(2)).await.ok()?;
+    String::from_utf8(resp.body().to_vec()).ok()
+}
+
 /// One metric of a process, summed over its labels.
 pub async fn metric(f: &Fleet, addr: SocketAddr, name: &str) -> Option<u64> {
-    let req = Request::get(format!("http://{addr}/metrics")).body(Full::default()).ok()?;
-    let resp = call_within(&f.http, req, 1 << 20, Duration::from_secs(2)).await.ok()?;
-    let text = String::from_utf8(resp.body().to_vec()).ok()?;
+    let text = text(&f.http, format!("http://{addr}/metrics")).await?;
     let mut sum = None;
     for line in text.lines().filter(|l| !l.starts_with('#')) {
         let (key, val) = line.rsplit_once(' ')?;
--- a/crates/programs/tests/fleet.rs
+++ b/crates/programs/tests/fleet.rs
@@ -79,6 +79,7 @@
         let f = fleet::up(layout).await.unwrap();
         all_ready(&f).await;
         callers(&f, &spec).await;
+        false_leafs(&f, &spec).await;
         operators(&f, &dir).await;
         let state = fleet::ask_backs(&f, "/state").await.unwrap();
         for leaf in state["leafs"].as_array().unwrap() {
@@ -119,6 +120,41 @@
     }
 }
 
+/// Leafs that answer falsely on the wire never spoil an answer, and each kind
+/// of it is counted.
+async fn false_leafs(f: &Fleet, spec: &Spec) {
+    let kind = &spec.kinds[0];
+    let service = "kahurangi-fleet-w48-0";
+    let modes = [
+        ("cut-short", "cut-short"),
+        ("overlong", "overlong"),
+        ("garbage", "garbage"),
+        ("stale-postmark", "wrong-postmark"),
+        ("two-postmarks", "two-postmarks"),
+    ];
+    for (n, (mode, counted)) in modes.into_iter().enumerate() {
+        fleet::order(f, json!({ "do": mode, "service": service, "count": 2 })).await.unwrap();
+        let seen = async || {
+            let url = format!("http://{}/metrics", f.fronts[0]);
+            let text = fleet::text(&f.http, url).await.unwrap();
+            text.contains(&format!("grebe_dispatch_trouble_total{{kind=\"{counted}\"}}"))
+        };
+        let mut asked = 0;
+        while !seen().await {
+            asked += 1;
+            assert!(asked < 200, "no {counted} was counted in 200 queries");
+            let what = Asked { question: format!("{mode}-{n}-{asked}"), key: None };
+            let body = json!({ "question": what.question, "limit": kind.limit });
+            let (code, val) = search(f, 0, &kind.search, body, "5000").await;
+            assert_eq!(code, 200, "{mode}: {val}");
+            let missing = val["missing"].to_string();
+            let (bad, _) = success(kind, &what, Some(&missing), val.to_string().as_bytes());
+            expect_that!(bad, is_empty());
+        }
+        fleet::order(f, json!({ "do": "good", "service": service })).await.unwrap();
+    }
+}
+
 async fn operators(f: &Fleet, dir: &std::path::Path) {
     let (code, out) = ctl(f, &["explain", "fleet"]);
     expect_that!(code, eq(0));
