Let a seat with a sick disk hand requests over; test a full disk for real

Cause: a controller whose disk is full (file limit on a real process) stepped back as it should, but forgot who owns the parts: operators who asked it waited 8 s and were bounced. Ruled out: the other seats (accepted within their usual time). Change: a seat that can't vote still notes whose beats it hears.

--- a/crates/grebe/src/state/replica.rs
+++ b/crates/grebe/src/state/replica.rs
@@ -97,6 +97,13 @@
 /// Whether a message of an owner of `epoch` is to be obeyed; denies if not.
 pub fn obey(p: &mut Part, now: Tick, from: Seat, epoch: u64, out: &mut Vec<Command>) -> bool {
     if !able(p) {
+        // It can't vote or accept, but it still hands requests over.
+        if epoch >= p.copy.promised
+            && let Role::Follower { heard, owner } = &mut p.role
+        {
+            *heard = now;
+            *owner = Some((from, epoch));
+        }
         return false;
     }
     if epoch < p.copy.promised {
--- a/crates/programs/src/proof/fleet.rs
+++ b/crates/programs/src/proof/fleet.rs
@@ -97,6 +97,21 @@
     Ok(())
 }
 
+/// Lets a process write no file beyond so many blocks of 512 bytes, from its
+/// next start on: its disk then behaves as a full one. `None` lifts that.
+pub fn limit_files(p: &mut Proc, blocks: Option<u32>) {
+    const ASIDE: &str = "sh";
+    if p.program.as_os_str() == ASIDE {
+        p.program = PathBuf::from(p.args[2].clone());
+        p.args.drain(..3);
+    }
+    if let Some(n) = blocks {
+        let script = format!("trap '' XFSZ; ulimit -f {n}; exec \"$0\" \"$@\"");
+        let program = std::mem::replace(&mut p.program, ASIDE.into()).display().to_string();
+        p.args.splice(0..0, ["-c".to_string(), script, program]);
+    }
+}
+
 /// Kills a process at once, as `kill -9` does.
 pub fn kill(p: &mut Proc) {
     if let Some(mut child) = p.child.take() {
--- a/crates/programs/tests/wires.rs
+++ b/crates/programs/tests/wires.rs
@@ -1,4 +1,5 @@
-//! Wires between processes: a stranger, a frozen process, a cut wire.
+//! Troubles of real processes: a stranger's wire, a frozen process, a cut net,
+//! a full disk.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -195,3 +196,45 @@
         expect_that!(ask(&f, 2).await.unwrap().1["revision"].as_u64(), ge(Some(rev)));
     });
 }
+
+#[googletest::test]
+fn a_full_disk_makes_its_seat_step_back_and_costs_nothing_accepted() {
+    block(async {
+        let mut f = fleet::up(layout("full")).await.unwrap();
+        all_ready(&f).await;
+        // The owner of the configuration comes back on a disk with 64 KiB left.
+        let seat = fleet::config_owner(&f).await.unwrap();
+        fleet::kill(&mut f.seats[seat]);
+        fleet::limit_files(&mut f.seats[seat], Some(128));
+        fleet::start(&mut f.seats[seat]).unwrap();
+        let role = async |f: &Fleet| {
+            let s = fleet::status(f, seat).await.ok()?;
+            Some(s["here"]["parts"][0].clone())
+        };
+        let whole = || async { role(&f).await.is_some_and(|p| p["role"] == "follower") };
+        assert!(fleet::until(LONG, whole).await);
+        let val = json!({ "pools": [{ "name": "wide", "service": "wide",
+                                      "labels": { "note": "x".repeat(100_000) } }] });
+        let rev = fleet::patch(&f, &val, "wide").await.unwrap();
+        let sick = || async { role(&f).await.is_some_and(|p| p["role"] == "sick") };
+        assert!(fleet::until(LONG, sick).await, "{:?}", role(&f).await);
+        expect_that!(role(&f).await.unwrap()["sick"].as_str(), some(contains_substring("large")));
+        // The two others go on accepting, and all queriers obey.
+        let val = json!({ "zones": [{ "name": "after", "state": "open" }] });
+        let rev = rev.max(fleet::patch(&f, &val, "after").await.unwrap());
+        for i in 0..3 {
+            let obeys = || async { fleet::obeyed(&f, i).await.is_some_and(|r| r >= rev) };
+            assert!(fleet::until(LONG, obeys).await);
+        }
+        // With room again it comes back whole.
+        fleet::kill(&mut f.seats[seat]);
+        fleet::limit_files(&mut f.seats[seat], None);
+        fleet::start(&mut f.seats[seat]).unwrap();
+        let back = || async {
+            role(&f)
+                .await
+                .is_some_and(|p| p["role"] == "follower" && p["shown"].as_u64() >= Some(rev))
+        };
+        assert!(fleet::until(LONG, back).await, "{:?}", role(&f).await);
+    });
+}
