--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -198,7 +198,7 @@
     let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
     // The platform needs a moment to see that we are not ready: until then
     // callers still come, and are served.
-    let shut = w.stopping.is_some_and(|at| since(at, now) >= consts::DRAIN_NOTICE);
+    let shut = w.stopping.is_some_and(|at| since(at, now) >= w.notice);
     let door = match (&w.view, shut) {
         (_, true) => Door::Stopping,
         (None, _) => Door::Shut,
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -6,10 +6,10 @@
 use indexmap::IndexMap;
 
 use crate::config::build::Built;
-use crate::consts::SEATS;
+use crate::consts::{DRAIN_NOTICE, SEATS};
 use crate::names::{PartId, Seat, parts};
 use crate::query::desk::Door;
-use crate::time::Tick;
+use crate::time::{Span, Tick};
 use crate::view::leafs::LeafInfo;
 use crate::view::whole::View;
 use crate::wire::msg::{Cohort, Map, Member, Msg, Place, Word};
@@ -50,6 +50,8 @@
     pub ready: bool,
     /// When we were told to stop.
     pub stopping: Option<Tick>,
+    /// Time from then until the door is shut.
+    pub notice: Span,
     /// Nothing is in hand any more; our tenure may be given back.
     pub drained: bool,
     pub follow_at: Tick,
@@ -197,6 +199,7 @@
         door: Door::Shut,
         ready: false,
         stopping: None,
+        notice: DRAIN_NOTICE,
         drained: false,
         follow_at: now,
         gossip_at: now,
--- a/crates/grebe/src/config/build.rs
+++ b/crates/grebe/src/config/build.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use super::types::{Class, Config, Search};
+use super::types::{Class, Config, Form, Search, Steer, Terms};
 use crate::lang::compile::{Policy, Send, compile};
 use crate::lang::finding::{Finding, find};
 use crate::lang::parser::selector;
@@ -33,6 +33,18 @@
     pub stop_pct: u64,
     pub local: bool,
     pub shards: Vec<Shard>,
+    /// Host and path by which calls come here; empty if by name.
+    pub host: String,
+    pub path: String,
+    pub form: Form,
+    pub once: bool,
+    /// Time within which an answer has its full worth.
+    pub target: Option<Span>,
+    pub rank: u32,
+    pub width: usize,
+    pub top: usize,
+    /// Weight of each shard, in their order.
+    pub weights: Vec<u64>,
 }
 
 /// A shard of a mapping and the pools that hold it.
@@ -50,6 +62,11 @@
     pub sel: Selector,
     pub bears: u32,
     pub ramp: Span,
+    pub steer: Steer,
+    /// Most wires that a leaf takes from all nodes; zero if not said.
+    pub wires: u32,
+    /// Thousandths of a dispatch that a cold leaf bears a second.
+    pub cold_rate: u32,
 }
 
 /// A checked configuration.
@@ -57,6 +74,7 @@
 pub struct Built {
     pub mappings: IndexMap<String, Mapping>,
     pub drained: BTreeSet<String>,
+    pub terms: Terms,
 }
 
 /// The shards of `n` that make the quorum of a mapping.
@@ -77,6 +95,9 @@
             sel,
             bears: pool.bears.max(1),
             ramp: ms(u64::from(pool.ramp_ms)),
+            steer: Steer::try_from(pool.steer).unwrap_or(Steer::Share),
+            wires: pool.wires,
+            cold_rate: pool.cold_rate,
         };
         plans.insert(&pool.name, (plan, &pool.labels));
     }
@@ -87,6 +108,9 @@
         if s.promise_ms == 0 {
             find(&mut all, format!("{at}.promise_ms"), "must be above zero");
         }
+        for need in s.needs.iter().filter(|n| !conf.pools.contains_key(*n)) {
+            find(&mut all, format!("{at}.needs"), format!("there is no pool `{need}`"));
+        }
         let Some(policy) = compile(&format!("{at}.plan"), &s.plan, &mut all) else { continue };
         // A pool that did not compile would only seem to be missing here.
         if broken {
@@ -97,7 +121,15 @@
         }
     }
     let drained = conf.zones.values().filter(|z| z.drained).map(|z| z.name.clone()).collect();
-    if all.is_empty() { Ok(Built { mappings, drained }) } else { Err(all) }
+    let mut places: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+    for s in conf.searches.values().filter(|s| !s.host.is_empty()) {
+        if let Some(other) = places.insert((&s.host, &s.path), &s.name) {
+            let text = format!("`{other}` has the same host and path");
+            find(&mut all, format!("searches[{}].path", s.name), text);
+        }
+    }
+    let terms = conf.terms.clone();
+    if all.is_empty() { Ok(Built { mappings, drained, terms }) } else { Err(all) }
 }
 
 fn mapping(
@@ -138,6 +170,11 @@
     if shards.is_empty() && all.len() == before {
         find(all, plan_at, "no pool is chosen: a mapping needs at least one shard");
     }
+    let weight = |name: &&str| s.weights.get(*name).map_or(0, |n| u64::from(*n));
+    let weights: Vec<u64> = shards.keys().map(weight).collect();
+    if policy.send == Send::Weighed && weights.iter().sum::<u64>() == 0 {
+        find(all, format!("{at}.weights"), "the weights of the chosen shards add up to nothing");
+    }
     if all.len() > before {
         return None;
     }
@@ -156,5 +193,14 @@
             .into_iter()
             .map(|(name, pools)| Shard { name: name.to_string(), pools })
             .collect(),
+        host: s.host.clone(),
+        path: s.path.clone(),
+        form: Form::try_from(s.form).unwrap_or(Form::Own),
+        once: s.once,
+        target: (s.target_ms > 0).then(|| ms(s.target_ms)),
+        rank: s.rank,
+        width: s.width.max(1) as usize,
+        top: s.top as usize,
+        weights,
     })
 }
--- a/crates/grebe/src/config/read.rs
+++ b/crates/grebe/src/config/read.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Map, Value};
 
-use super::types::{Class, Config, Patch, Pool, Search, Zone};
+use super::types::{Class, Config, Form, Patch, Pool, Search, Steer, Terms, Turn, Zone};
 use crate::consts;
 use crate::lang::finding::{Finding, find};
 
@@ -15,8 +15,12 @@
 /// Parses the text and reads a whole configuration.
 pub fn whole(text: &[u8]) -> Result<Config, Vec<Finding>> {
     let mut all = Vec::new();
-    let conf = match top(text, &["searches", "pools", "zones"], &mut all) {
-        Some(map) => config(&map, &mut all),
+    let conf = match top(text, &["searches", "pools", "zones", "terms", "keep_zones"], &mut all) {
+        Some(map) => {
+            let mut conf = config(&map, &mut all);
+            conf.keep_zones = map.get("keep_zones").and_then(Value::as_bool).unwrap_or(false);
+            conf
+        }
         None => Config::default(),
     };
     if all.is_empty() { Ok(conf) } else { Err(all) }
@@ -26,7 +30,7 @@
 pub fn patch(text: &[u8]) -> Result<Patch, Vec<Finding>> {
     let mut all = Vec::new();
     let mut out = Patch::default();
-    if let Some(map) = top(text, &["searches", "pools", "zones", "remove"], &mut all) {
+    if let Some(map) = top(text, &["searches", "pools", "zones", "terms", "remove"], &mut all) {
         out.set = config(&map, &mut all);
         if let Some(gone) = map.get("remove") {
             match gone.as_object() {
@@ -89,9 +93,36 @@
         searches: list(map, "searches", all, search),
         pools: list(map, "pools", all, pool),
         zones: list(map, "zones", all, zone),
+        turn: turn(map, all),
+        ..Config::default()
     }
 }
 
+/// Reads what a change says of the terms.
+fn turn(map: &Map<String, Value>, all: &mut Vec<Finding>) -> Turn {
+    let Some(val) = map.get("terms") else { return Turn::default() };
+    let Some(map) = val.as_object() else {
+        find(all, "terms", "expected an object");
+        return Turn::default();
+    };
+    let mut o = Object { map, at: "terms".into(), all, seen: Vec::new() };
+    let has = |key: &str| map.contains_key(key);
+    let most = u64::MAX;
+    let after = has("after").then(|| number(&mut o, "after", 0, most, None));
+    let edition = has("edition").then(|| number(&mut o, "edition", 0, most, None));
+    let sets = ["head_max", "body_max", "head_wait_ms", "idle_ms", "origin"];
+    let terms = sets.iter().any(|k| has(k)).then(|| Terms {
+        edition: 0,
+        head_max: number(&mut o, "head_max", 0, most, Some(0)),
+        body_max: number(&mut o, "body_max", 0, most, Some(0)),
+        head_wait_ms: number(&mut o, "head_wait_ms", 0, most, Some(0)),
+        idle_ms: number(&mut o, "idle_ms", 0, most, Some(0)),
+        origin: text(&mut o, "origin", false),
+    });
+    known(map, "terms", &["after", "edition", sets[0], sets[1], sets[2], sets[3], sets[4]], all);
+    Turn { after, edition, terms }
+}
+
 fn list<T>(
     map: &Map<String, Value>,
     key: &str,
@@ -180,19 +211,106 @@
             Class::Ordinary
         }
     };
-    let promise_ms = number(o, "promise_ms", consts::BUDGET_MIN_MS, consts::BUDGET_MAX_MS, None);
-    let attempts = number(o, "attempts", 1, 10, Some(3)) as u32;
+    let form = match text(o, "form", false).as_str() {
+        "" | "own" => Form::Own,
+        "pass" => Form::Pass,
+        "join" => Form::Join,
+        other => {
+            want(o, "form", format!("`{other}` is not one of own, pass, join"));
+            Form::Own
+        }
+    };
+    let (low, high) = match form {
+        Form::Own => (consts::BUDGET_MIN_MS, consts::BUDGET_MAX_MS),
+        _ => (1, consts::PROMISE_MAX_MS),
+    };
+    let promise_ms = number(o, "promise_ms", low, high, None);
+    let attempts = number(o, "attempts", 1, consts::ATTEMPTS_MAX, Some(3)) as u32;
     o.seen.push("quorum");
     let quorum = match o.map.get("quorum").map(Value::as_f64) {
         None => 1000,
-        Some(Some(q)) if q > 0.0 && q <= 1.0 => ((q * 1000.0).ceil() as u32).clamp(1, 1000),
+        Some(Some(q)) if (q > 0.0 || form != Form::Own && q == 0.0) && q <= 1.0 => ((q * 1000.0).ceil() as u32).clamp(1, 1000),
         Some(_) => {
             want(o, "quorum", "expected a share above 0 and up to 1");
             1000
         }
     };
     let plan = text(o, "plan", true);
-    Some((name.clone(), Search { name, class: class as i32, promise_ms, quorum, attempts, plan }))
+    let host = text(o, "host", false);
+    let path = text(o, "path", false);
+    if host.is_empty() != path.is_empty() || (!path.is_empty() && !path.starts_with('/')) {
+        want(o, "path", "a host and a path that begins with a slash go together");
+    }
+    if form != Form::Own && host.is_empty() {
+        want(o, "host", "a search that hands calls over is found by host and path");
+    }
+    o.seen.push("once");
+    let once = match o.map.get("once") {
+        None => false,
+        Some(Value::Bool(b)) => *b,
+        Some(_) => {
+            want(o, "once", "expected true or false");
+            false
+        }
+    };
+    if once && form != Form::Pass {
+        want(o, "once", "only calls that are passed to one leaf can be kept from running twice");
+    }
+    let target_ms = number(o, "target_ms", 0, consts::PROMISE_MAX_MS, Some(0));
+    let rank = number(o, "rank", 0, u64::from(u32::MAX), Some(0)) as u32;
+    let width = number(o, "width", 1, 4_096, Some(16)) as u32;
+    let top = number(o, "top", 1, 1_000_000, Some(u64::from(consts::RECORDS_DEFAULT))) as u32;
+    o.seen.push("weights");
+    let mut weights = BTreeMap::new();
+    match o.map.get("weights") {
+        None => {}
+        Some(Value::Object(map)) => {
+            for (key, val) in map {
+                match val.as_u64().and_then(|n| u32::try_from(n).ok()) {
+                    Some(n) => {
+                        weights.insert(key.clone(), n);
+                    }
+                    None => {
+                        let place = format!("{}.weights.{key}", o.at);
+                        find(o.all, place, "expected a whole number");
+                    }
+                }
+            }
+        }
+        Some(_) => want(o, "weights", "expected an object of numbers"),
+    }
+    let origin = text(o, "origin", false);
+    let place = number(o, "place", 0, u64::from(u32::MAX), Some(0)) as u32;
+    o.seen.push("needs");
+    let mut needs = Vec::new();
+    match o.map.get("needs") {
+        None => {}
+        Some(Value::Array(list)) if list.iter().all(Value::is_string) => {
+            needs.extend(list.iter().filter_map(Value::as_str).map(str::to_string));
+        }
+        Some(_) => want(o, "needs", "expected a list of pools' names"),
+    }
+    let out = Search {
+        needs,
+        name: name.clone(),
+        class: class as i32,
+        promise_ms,
+        quorum,
+        attempts,
+        plan,
+        host,
+        path,
+        form: form as i32,
+        once,
+        target_ms,
+        rank,
+        width,
+        top,
+        weights,
+        origin,
+        place,
+    };
+    Some((name, out))
 }
 
 fn pool(o: &mut Object) -> Option<(String, Pool)> {
@@ -224,7 +342,32 @@
         }
         Some(_) => want(o, "labels", "expected an object of texts"),
     }
-    Some((name.clone(), Pool { name, service, selector, labels, bears, ramp_ms }))
+    let steer = match text(o, "steer", false).as_str() {
+        "" | "share" => Steer::Share,
+        "seen" => Steer::Seen,
+        other => {
+            want(o, "steer", format!("`{other}` is not one of share, seen"));
+            Steer::Share
+        }
+    } as i32;
+    let wires = number(o, "wires", 0, u64::from(u32::MAX), Some(0)) as u32;
+    let cold_rate = number(o, "cold_rate", 0, u64::from(u32::MAX), Some(0)) as u32;
+    let origin = text(o, "origin", false);
+    let place = number(o, "place", 0, u64::from(u32::MAX), Some(0)) as u32;
+    let out = Pool {
+        name: name.clone(),
+        service,
+        selector,
+        labels,
+        bears,
+        ramp_ms,
+        steer,
+        wires,
+        cold_rate,
+        origin,
+        place,
+    };
+    Some((name, out))
 }
 
 fn zone(o: &mut Object) -> Option<(String, Zone)> {
--- a/crates/grebe/src/config/types.rs
+++ b/crates/grebe/src/config/types.rs
@@ -32,6 +32,93 @@
     pub attempts: u32,
     #[prost(string, tag = "6")]
     pub plan: String,
+    /// Host of the calls that come here; empty if it is called by name.
+    #[prost(string, tag = "7")]
+    pub host: String,
+    /// Path that such calls begin with; the longest that fits is taken.
+    #[prost(string, tag = "8")]
+    pub path: String,
+    #[prost(enumeration = "Form", tag = "9")]
+    pub form: i32,
+    /// A call may run at most once.
+    #[prost(bool, tag = "10")]
+    pub once: bool,
+    /// Time within which an answer has its full worth; zero if not said.
+    #[prost(uint64, tag = "11")]
+    pub target_ms: u64,
+    /// Order among searches of one class, the lowest first.
+    #[prost(uint32, tag = "12")]
+    pub rank: u32,
+    /// Bytes of one record where parts are joined by bytes.
+    #[prost(uint32, tag = "13")]
+    pub width: u32,
+    /// Records of a joined answer.
+    #[prost(uint32, tag = "14")]
+    pub top: u32,
+    /// Weight of each shard where one is drawn by weight.
+    #[prost(btree_map = "string, uint32", tag = "15")]
+    pub weights: BTreeMap<String, u32>,
+    /// What the operator wrote, given back as it was, and its place.
+    #[prost(string, tag = "16")]
+    pub origin: String,
+    #[prost(uint32, tag = "17")]
+    pub place: u32,
+    /// Pools that must be there for it.
+    #[prost(string, repeated, tag = "18")]
+    pub needs: Vec<String>,
+}
+
+/// What a search's questions and answers are to us.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Form {
+    /// Our own: a question of ours, records of ours.
+    Own = 0,
+    /// Handed over unchanged; one leaf's answer goes back unchanged.
+    Pass = 1,
+    /// Handed over unchanged; the parts' records are joined by their bytes.
+    Join = 2,
+}
+
+/// How the leafs of a pool are spared.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Steer {
+    /// Places are divided over all threads: a hard sum.
+    Share = 0,
+    /// By what is seen: dispatches in hand, what leafs say, work turned away.
+    Seen = 1,
+}
+
+/// What holds for the whole configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Terms {
+    /// The operators' own number; rises with each change that names one.
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// Most bytes of a call's head and body; how long a head may take and a
+    /// wire may idle. Zero: our own default.
+    #[prost(uint64, tag = "2")]
+    pub head_max: u64,
+    #[prost(uint64, tag = "3")]
+    pub body_max: u64,
+    #[prost(uint64, tag = "4")]
+    pub head_wait_ms: u64,
+    #[prost(uint64, tag = "5")]
+    pub idle_ms: u64,
+    /// What the operator wrote beside the lists, given back as it was.
+    #[prost(string, tag = "6")]
+    pub origin: String,
+}
+
+/// The terms of a change: what it builds on and what it sets.
+#[derive(Clone, PartialEq, Default, Debug)]
+pub struct Turn {
+    /// The edition that it builds on, if it says so.
+    pub after: Option<u64>,
+    pub edition: Option<u64>,
+    /// All other terms, if it sets them.
+    pub terms: Option<Terms>,
 }
 
 /// A pool: the leafs of one service of the platform, labelled.
@@ -52,6 +139,18 @@
     /// Time a fresh leaf takes to bear all of that.
     #[prost(uint32, tag = "6")]
     pub ramp_ms: u32,
+    #[prost(enumeration = "Steer", tag = "7")]
+    pub steer: i32,
+    /// Most wires that a leaf takes from all nodes; zero if not said.
+    #[prost(uint32, tag = "8")]
+    pub wires: u32,
+    /// Thousandths of a dispatch that a cold leaf bears a second.
+    #[prost(uint32, tag = "9")]
+    pub cold_rate: u32,
+    #[prost(string, tag = "10")]
+    pub origin: String,
+    #[prost(uint32, tag = "11")]
+    pub place: u32,
 }
 
 /// A zone and whether it is emptied.
@@ -69,6 +168,11 @@
     pub searches: BTreeMap<String, Search>,
     pub pools: BTreeMap<String, Pool>,
     pub zones: BTreeMap<String, Zone>,
+    pub terms: Terms,
+    /// Not stored: what the change that brought this builds on.
+    pub turn: Turn,
+    /// Not stored: a whole configuration leaves the zones as they are.
+    pub keep_zones: bool,
 }
 
 /// A partial configuration: objects to set and names to remove.
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -149,6 +149,10 @@
 
 /// Longest budget a caller may name (ms): the brief's ten seconds, doubled.
 pub const BUDGET_MAX_MS: u64 = 20_000;
+/// Longest promise that a search which hands calls over may make (ms): an hour.
+pub const PROMISE_MAX_MS: u64 = 3_600_000;
+/// Most dispatches for one shard that a search may allow (count).
+pub const ATTEMPTS_MAX: u64 = 100;
 /// Shortest budget that is worth a dispatch (ms).
 pub const BUDGET_MIN_MS: u64 = 5;
 /// Share of the budget kept back to merge and send the answer (percent).
@@ -181,8 +185,19 @@
 /// would only wait in memory.
 pub const DOOR_CALLS: usize = 2 * QUERIES_LIVE;
 /// Open wires of callers to one traffic thread's door (count). At a few KiB
-/// each they take some ten MiB; further ones wait in the system's buffer.
-pub const DOOR_WIRES: usize = 4_096;
+/// each they take some ten MiB; further ones wait in the system's buffer. A
+/// small machine's 4,000 file handles leave as many again for everything else.
+pub const DOOR_WIRES: usize = 3_072;
+/// Open wires to the address at which readiness alone is asked (count).
+pub const CHECK_WIRES: usize = 32;
+/// Most bytes of a call's head and of its body, how long a head may take and a
+/// wire may idle, where the configuration does not say.
+pub const HEAD_LIMIT: usize = 16 * 1024;
+pub const BODY_LIMIT: usize = 1024 * 1024;
+pub const HEAD_WAIT: Span = 3 * SECOND;
+pub const WIRE_IDLE: Span = 30 * SECOND;
+/// Most pages of one poll of a list (count): a list without an end is none.
+pub const LIST_PAGES: usize = 1_000;
 /// Least time that a bounced caller is asked to stay away (s): the platform
 /// checks readiness each second, and most troubles of a leaf pass in one.
 pub const AGAIN_MIN_S: u64 = 1;
@@ -246,6 +261,59 @@
 /// Each reply draws the usual time up by this share (1/n), so that a leaf
 /// which became slower for good is not held down for ever.
 pub const USUAL_DRIFT: u64 = 1_024;
+/// Dispatches a thread may have in hand at a leaf that is steered by what is
+/// seen, for each of its slots (percent): a little buffer at the leaf is
+/// useful, more only makes answers late.
+pub const SEEN_SLOTS_PCT: u64 = 200;
+/// Slots of a leaf that has not said so (count).
+pub const SEEN_SLOTS: u64 = 2;
+/// Share of its slots up to which a leaf works undisturbed (percent); beyond,
+/// each further dispatch is reckoned to wait for half of the others.
+pub const SEEN_EASE_PCT: u64 = 70;
+/// Weight of a new word on a leaf's load (1/n): words are old when they come.
+pub const SEEN_WEIGHT: u64 = 3;
+/// What a leaf of another zone is reckoned dearer (percent of its time) and ...
+pub const FAR_PCT: u64 = 30;
+/// ... by how much at least: bytes between zones cost, and the way is longer.
+pub const FAR_MIN: Span = ms(2);
+/// What a cold leaf is reckoned slower (percent of its time).
+pub const COLD_PCT: u64 = 200;
+/// Time of a leaf that nobody has tried (reckoned).
+pub const UNTRIED: Span = ms(20);
+/// Share of the second tries' part that is used, against rounding (percent).
+pub const SECOND_KEEP_PCT: u64 = 95;
+/// Part of dispatches that come back before a second try is sent (thousandths).
+pub const WAIT_QUANTILE: u64 = 950;
+/// A learned wait is stretched by this (percent) and this much.
+pub const WAIT_STRETCH_PCT: u64 = 125;
+pub const WAIT_MORE: Span = ms(2);
+/// Shortest learned wait before a second try.
+pub const WAIT_MIN: Span = ms(4);
+/// Share of the target that a wait which is not learned yet takes (percent).
+pub const WAIT_TARGET_PCT: u64 = 40;
+/// Share of the target kept back for the way home (percent), and its bounds.
+pub const TARGET_KEEP_PCT: u64 = 10;
+pub const TARGET_KEEP_MIN: Span = ms(5);
+pub const TARGET_KEEP_MAX: Span = ms(15);
+/// Share of the target that a call may wait for a leaf with room (percent):
+/// refused that early it can still be served elsewhere.
+pub const HOLD_PCT: u64 = 20;
+/// Least share of the shards for which an answer at the target is worth more
+/// than a late one with all of them (percent).
+pub const STOP_SHARE_PCT: usize = 55;
+/// Leafs that a shard of one call may be offered to beyond its dispatches,
+/// because they could not be reached at all (count).
+pub const UNREACHED_MAX: usize = 3;
+/// Time a new wire to a leaf may take to come up.
+pub const LEAF_CONNECT: Span = ms(250);
+/// Wires are left alone this long before a leaf would close them itself.
+pub const LEAF_IDLE_KEEP: Span = ms(1_000);
+/// Trust in an unused wire whose leaf does not say how long it may idle ...
+pub const LEAF_IDLE_UNTOLD: Span = ms(500);
+/// ... and of one of our own kind, which closes only when it goes.
+pub const LEAF_WIRE_IDLE: Span = 60 * SECOND;
+/// Least time that a caller who hands a call over is asked to stay away.
+pub const AGAIN_SOON: Span = ms(50);
 /// Wires to one leaf that stay open unused (count).
 pub const LEAF_WIRES: usize = 16;
 
@@ -256,6 +324,11 @@
 /// Time a stopping querier leaves between "not ready" and closing its door:
 /// the platform checks readiness each second.
 pub const DRAIN_NOTICE: Span = ms(1_500);
+/// Share of a told grace that passes before the door is shut (percent): two
+/// checks, each a second apart, must have been missed, and callers gone.
+pub const NOTICE_PCT: u64 = 45;
+/// Time of a told grace that is kept for the end itself.
+pub const GRACE_KEEP: Span = ms(500);
 /// Longest time a stopping process waits for its last queries.
 pub const DRAIN_MAX: Span = 12 * SECOND;
 /// Operators' requests that a controller has in hand at once (count).
--- a/crates/grebe/src/edge/caller.rs
+++ b/crates/grebe/src/edge/caller.rs
@@ -122,6 +122,11 @@
 pub fn write(out: &Outcome) -> Written {
     match out {
         Outcome::Full(full) => write_full(full),
+        // Calls that are handed over come by another door.
+        Outcome::Passed(_) | Outcome::Joined(_) => {
+            let b = Bounce::new(Reason::NoMapping, "this search is called by host and path");
+            write(&Outcome::Bounce(b))
+        }
         Outcome::Bounce(b) => {
             let code = status(b.reason);
             let body = json!({ "error": b.reason.to_string(), "text": b.text, "query": b.query });
--- a/crates/grebe/src/edge/leaf.rs
+++ b/crates/grebe/src/edge/leaf.rs
@@ -4,6 +4,7 @@
 
 use crate::digest::digest;
 use crate::query::ask::Record;
+use crate::query::seen::Load;
 
 /// Path of the one call a leaf takes.
 pub const PATH: &str = "/query";
@@ -87,6 +88,12 @@
     pub state: Option<String>,
     pub cut: Option<String>,
     pub unrun: bool,
+    /// What it says of its load, where it tells that in numbers.
+    pub load: Option<Load>,
+    /// The reply is not one to this dispatch.
+    pub foreign: bool,
+    /// Every head that may go back to a caller, as it came.
+    pub all: Vec<(String, Vec<u8>)>,
 }
 
 /// A reply as it came off the wire.
--- a/crates/grebe/src/lang/compile.rs
+++ b/crates/grebe/src/lang/compile.rs
@@ -12,6 +12,8 @@
     Wide,
     /// The one shard that the caller's key falls on.
     One,
+    /// One shard, drawn by the search's weights.
+    Weighed,
 }
 
 /// A compiled plan, before its pools are looked up.
@@ -40,6 +42,7 @@
             Verb::From { sel, by } => from.replace((sel, by)).is_some(),
             Verb::SendWide => send.replace(Send::Wide).is_some(),
             Verb::SendOne => send.replace(Send::One).is_some(),
+            Verb::SendWeighed => send.replace(Send::Weighed).is_some(),
             Verb::Wait(n) => wait.replace(n).is_some(),
             Verb::Stop(n) => stop.replace(n).is_some(),
             Verb::Prefer { local: l } => local.replace(l).is_some(),
--- a/crates/grebe/src/lang/parser.rs
+++ b/crates/grebe/src/lang/parser.rs
@@ -18,6 +18,7 @@
     From { sel: Selector, by: String },
     SendWide,
     SendOne,
+    SendWeighed,
     Wait(u64),
     Stop(u64),
     Prefer { local: bool },
@@ -151,8 +152,12 @@
                 return Err(wrong(r, "`wide` or `one by key`"));
             }
             word(r, "by")?;
-            word(r, "key")?;
-            Verb::SendOne
+            if take(r, "weight") {
+                Verb::SendWeighed
+            } else {
+                word(r, "key")?;
+                Verb::SendOne
+            }
         }
         "wait" => Verb::Wait(percent(r)?),
         "stop" => {
--- a/crates/grebe/src/query/again.rs
+++ b/crates/grebe/src/query/again.rs
@@ -2,7 +2,7 @@
 //! spread by chance so that callers bounced together do not return together.
 
 use super::ask::Reason;
-use crate::consts::{AGAIN_MAX_S, AGAIN_MIN_S, STRAIN_HALF};
+use crate::consts::{AGAIN_MAX_S, AGAIN_MIN_S, AGAIN_SOON, STRAIN_HALF};
 use crate::luck::{Luck, below};
 use crate::time::{SECOND, Span, Tick, since};
 
@@ -32,6 +32,15 @@
     }
 }
 
+/// Time after which a caller who handed a call over may come back: soon, since
+/// most troubles of one node or leaf are over before its budget ends.
+pub fn soon(s: &mut Strain, now: Tick, rest: Span, luck: &mut Luck) -> Span {
+    settle(s, now);
+    let base = (AGAIN_SOON * s.came).checked_div((s.came - s.away).max(1)).unwrap_or(0);
+    let base = base.max(rest).clamp(AGAIN_SOON, AGAIN_MIN_S * SECOND);
+    base + below(luck, base / 2 + 1)
+}
+
 /// Seconds after which the caller may ask again. `rest` is the time until a
 /// leaf that its query needed may be asked again.
 ///
--- a/crates/grebe/src/query/ask.rs
+++ b/crates/grebe/src/query/ask.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 
+use super::parcel::{Joined, Passed};
 use crate::time::Span;
 
 /// A caller's question, read and checked for form.
@@ -90,11 +91,15 @@
     pub query: Option<String>,
     /// Seconds after which the caller may ask again, where that helps.
     pub again_s: Option<u64>,
+    /// The same, exactly, for those who can tell it so.
+    pub again: Option<Span>,
+    /// A leaf has worked on the call, or may have.
+    pub ran: bool,
 }
 
 impl Bounce {
     pub fn new(reason: Reason, text: impl Into<String>) -> Bounce {
-        Bounce { reason, text: text.into(), query: None, again_s: None }
+        Bounce { reason, text: text.into(), query: None, again_s: None, again: None, ran: false }
     }
 }
 
@@ -103,4 +108,8 @@
 pub enum Outcome {
     Full(Full),
     Bounce(Bounce),
+    /// Of a call that was handed over: one leaf's answer.
+    Passed(Passed),
+    /// Of a call that was handed over: the parts of several shards.
+    Joined(Joined),
 }
--- a/crates/grebe/src/query/choose.rs
+++ b/crates/grebe/src/query/choose.rs
@@ -5,13 +5,20 @@
 use indexmap::IndexMap;
 
 use super::leaf::{Leaf, bears, load, used, warm};
+use super::seen;
 use super::share::{Share, part};
 use crate::config::build::{Mapping, PoolPlan};
+use crate::config::types::{Form, Steer};
+use crate::consts::REST_AFTER;
 use crate::luck::{Luck, below};
 use crate::time::Tick;
 use crate::view::leafs::{LeafInfo, zone};
 use crate::view::whole::{View, open};
 
+/// Leafs up to which all are compared rather than two drawn ones (count):
+/// nodes that know little of a large pool must not all see the same best.
+const SMALL: usize = 8;
+
 /// What came of choosing.
 pub enum Choice {
     Leaf(Arc<LeafInfo>),
@@ -47,12 +54,22 @@
                 continue;
             }
             stand = true;
+            let rested = leaf.rest_until > s.now;
+            let near = map.local && zone(info) == s.zone;
+            if pool.steer == Steer::Seen {
+                let threads = s.share.slots.len() as u64;
+                // One that failed lately is tried with one dispatch at a time.
+                let wary = leaf.row >= REST_AFTER && leaf.live > 0;
+                if wary || leaf.live >= seen::room(leaf, info, pool, threads, s.now) {
+                    continue;
+                }
+                fit.push((info, seen::likely(leaf, info, near || !map.local), rested, true));
+                continue;
+            }
             let own = room(s, leaf, pool);
             if leaf.live >= own {
                 continue;
             }
-            let rested = leaf.rest_until > s.now;
-            let near = map.local && zone(info) == s.zone;
             fit.push((info, load(leaf, own), rested, near));
         }
     }
@@ -68,6 +85,15 @@
         if set.is_empty() {
             continue;
         }
+        let few = set.len() <= SMALL && map.form != Form::Own;
+        if few {
+            // So few can all be looked at; chance breaks ties.
+            let from = below(luck, set.len() as u64) as usize;
+            let all = set[from..].iter().chain(&set[..from]);
+            if let Some(best) = all.min_by_key(|f| f.1) {
+                return Choice::Leaf(best.0.clone());
+            }
+        }
         let one = set[below(luck, set.len() as u64) as usize];
         let two = set[below(luck, set.len() as u64) as usize];
         return Choice::Leaf(if two.1 < one.1 { two.0 } else { one.0 }.clone());
--- a/crates/grebe/src/query/desk.rs
+++ b/crates/grebe/src/query/desk.rs
@@ -8,8 +8,11 @@
 use super::again::Strain;
 use super::ask::{Ask, Outcome, Reason, Record};
 use super::leaf::Leaf;
+use super::parcel::Parcel;
+use super::quota::Quota;
 use super::rule::Rule;
 use super::share::Share;
+use super::waits::Waits;
 use crate::config::build::Mapping;
 use crate::config::types::Class;
 use crate::consts;
@@ -49,6 +52,9 @@
     pub dispatches: IndexMap<u64, Dispatch>,
     pub leafs: IndexMap<String, Leaf>,
     pub rule: Rule,
+    /// Second tries of calls that are handed over, by service.
+    pub quota: Quota,
+    pub waits: Waits,
     pub strain: Strain,
     pub luck: Luck,
     pub counts: Counts,
@@ -74,6 +80,14 @@
     pub body: Arc<Vec<u8>>,
     pub digest: String,
     pub slots: Vec<Slot>,
+    /// The call itself, if it is handed over.
+    pub parcel: Option<Arc<Parcel>>,
+    /// Until when a shard may wait for a leaf with room.
+    pub hold: Tick,
+    /// A leaf has worked on this, or may have.
+    pub ran: bool,
+    /// A leaf's failure, to be given back if nothing better comes.
+    pub last: Option<Arc<Raw>>,
 }
 
 /// One planned shard of a query.
@@ -87,6 +101,10 @@
     /// When a second try is due while a dispatch is out.
     pub next_at: Tick,
     pub records: Vec<Record>,
+    /// The reply that stands for this shard, of a call that is handed over.
+    pub part: Option<Arc<Raw>>,
+    /// The call was counted for its service.
+    pub counted: bool,
 }
 
 /// Where a planned shard stands.
@@ -110,6 +128,8 @@
     pub service: String,
     pub id: String,
     pub at: Tick,
+    /// It belongs to a call that is handed over.
+    pub handed: bool,
 }
 
 /// What happens to a desk.
@@ -118,6 +138,11 @@
         call: u64,
         ask: Ask,
     },
+    /// A call that is handed over.
+    Hand {
+        call: u64,
+        parcel: Arc<Parcel>,
+    },
     /// A dispatch has ended.
     Reply {
         dispatch: u64,
@@ -163,6 +188,10 @@
     pub digest: String,
     pub body: Arc<Vec<u8>>,
     pub budget: Span,
+    /// What is handed over, instead of `body`.
+    pub parcel: Option<Arc<Parcel>>,
+    /// It may run once at most: it must not go out on a doubtful wire.
+    pub once: bool,
 }
 
 /// What is counted, for metrics and measurements.
@@ -201,6 +230,8 @@
         dispatches: IndexMap::new(),
         leafs: IndexMap::new(),
         rule: super::rule::rule(now),
+        quota: super::quota::quota(super::quota::own()),
+        waits: Waits::default(),
         strain: Strain::default(),
         luck: crate::luck::luck(seed),
         counts: Counts::default(),
--- a/crates/grebe/src/query/leaf.rs
+++ b/crates/grebe/src/query/leaf.rs
@@ -26,6 +26,10 @@
     /// Thousandths of our part of its allowance that we use. What the leaf
     /// itself shows may only lower our part, never raise it above the share.
     pub strength: u32,
+    /// Dispatches it works on at once, as it last said; zero before that.
+    pub slots: u64,
+    /// What others have there (thousandths of a dispatch), smoothed.
+    pub others: u64,
     /// When `strength` last changed.
     pub strength_at: Tick,
     /// Time of a dispatch when the leaf is at ease.
@@ -52,6 +56,8 @@
         row: 0,
         rest_until: 0,
         strength: 1_000,
+        slots: 0,
+        others: 0,
         strength_at: 0,
         usual: 0,
         rank: None,
--- /dev/null
+++ b/crates/grebe/src/query/seen.rs
@@ -0,0 +1,66 @@
+//! Steering by what is seen: which leaf is likely to answer first.
+//!
+//! Nothing is divided over the nodes here. What a thread knows of a leaf are
+//! its own dispatches there, how long they took, what the leaf says of its
+//! load with each answer, and work that it turned away.
+
+use super::leaf::{Leaf, used};
+use crate::config::build::PoolPlan;
+use crate::consts;
+use crate::time::{Span, Tick};
+use crate::view::leafs::LeafInfo;
+
+/// What a leaf says of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    pub running: u32,
+    pub waiting: u32,
+    pub slots: u32,
+}
+
+/// Notes what a leaf says of its load; what of it is not ours is others'.
+pub fn hear(leaf: &mut Leaf, load: Load) {
+    leaf.slots = u64::from(load.slots);
+    let all = u64::from(load.running) + u64::from(load.waiting);
+    // Its answer is counted out already on its side, and not yet on ours.
+    let others = all.saturating_sub(leaf.live.saturating_sub(1)) * 1_000;
+    let n = consts::SEEN_WEIGHT;
+    leaf.others = leaf.others - leaf.others / n + others / n;
+}
+
+/// The slots of a leaf, by its own word, the list's or our guess.
+pub fn slots(leaf: &Leaf, info: &LeafInfo) -> u64 {
+    match (leaf.slots, info.slots) {
+        (0, 0) => consts::SEEN_SLOTS,
+        (0, listed) => u64::from(listed),
+        (said, _) => said,
+    }
+}
+
+/// Dispatches that we may have in hand at a leaf: a little more than it works
+/// on at once, less where it turns work away or its wires are few.
+pub fn room(leaf: &Leaf, info: &LeafInfo, pool: &PoolPlan, threads: u64, now: Tick) -> u64 {
+    let full = slots(leaf, info) * consts::SEEN_SLOTS_PCT / 100;
+    let most = used(leaf, full, 0, now).max(1);
+    match u64::from(pool.wires) {
+        0 => most,
+        wires => most.min((wires / threads.max(1)).max(1)),
+    }
+}
+
+/// When the leaf would likely answer one dispatch more.
+pub fn likely(leaf: &Leaf, info: &LeafInfo, near: bool) -> Span {
+    let time = if leaf.typical == 0 { consts::UNTRIED } else { leaf.typical };
+    let slots = slots(leaf, info).max(1);
+    // Load in thousandths of a slot, this dispatch included.
+    let load = (leaf.live + 1) * 1_000 + leaf.others;
+    let ease = slots * 10 * consts::SEEN_EASE_PCT;
+    let mut likely = time + time * load.saturating_sub(ease) / (slots * 1_000);
+    if info.cold {
+        likely += time * consts::COLD_PCT / 100;
+    }
+    if !near {
+        likely += (time * consts::FAR_PCT / 100).max(consts::FAR_MIN);
+    }
+    likely
+}
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -6,8 +6,10 @@
 use super::desk::*;
 use super::leaf::{self, leaf};
 use super::merge::merge;
-use super::{again, rule, share};
-use crate::config::build::{Mapping, needed};
+use super::parcel::Passed;
+use super::{again, hand, quota, rule, seen, share, waits};
+use crate::config::build::{Mapping, PoolPlan, needed};
+use crate::config::types::{Class, Form, Steer};
 use crate::consts;
 use crate::digest::{digest, hash};
 use crate::edge::leaf::{Expect, Raw, Trouble, check, self_word};
@@ -21,6 +23,7 @@
     let mut out = Vec::new();
     match event {
         Event::Ask { call, ask } => begin(d, now, call, ask, &mut out),
+        Event::Hand { call, parcel } => hand::begin(d, now, call, parcel, &mut out),
         Event::Reply { dispatch, got } => reply(d, now, dispatch, got, &mut out),
         Event::Gone { call } => gone(d, call, &mut out),
         Event::View(view) => {
@@ -35,6 +38,8 @@
                 }
             }
             d.leafs.retain(|name, l| l.live > 0 || view.leafs.contains_key(name));
+            quota::keep(&mut d.quota, |s| view.services.contains_key(s));
+            waits::keep(&mut d.waits, |s| view.mappings.contains_key(s));
             d.view = view;
             deal(d);
             if d.door == Door::Shut {
@@ -48,6 +53,7 @@
                 leaf.rank = share::rank(&d.share, leaf.thing);
             }
             deal(d);
+            quota::among(&mut d.quota, d.share.slots.len() as u64);
             let rank = share::rank(&d.share, hash("retry-slack"));
             rule::slack(&mut d.rule, share::part(&d.share, rank, consts::RETRY_SLACK));
             sweep(d, now, &mut out);
@@ -70,7 +76,8 @@
 fn deal(d: &mut Desk) {
     let view = d.view.clone();
     for map in view.mappings.values() {
-        for pool in map.shards.iter().flat_map(|s| &s.pools) {
+        let shared = |p: &&PoolPlan| p.steer == Steer::Share;
+        for pool in map.shards.iter().flat_map(|s| &s.pools).filter(shared) {
             let Some(list) = view.services.get(&pool.service) else { continue };
             let totals = vec![u64::from(pool.bears); list.len()];
             let ranks = share::deal(&d.share, hash(&pool.service), &totals);
@@ -93,6 +100,9 @@
     if count_in(q) >= need(q) {
         at = at.min(q.stop_at);
     }
+    if wanting(q) > 0 {
+        at = at.min(q.hold);
+    }
     for s in &q.slots {
         if s.state == SlotState::Out && s.tries < q.map.attempts {
             at = at.min(s.next_at);
@@ -101,16 +111,16 @@
     at
 }
 
-fn need(q: &Query) -> usize {
+pub(super) fn need(q: &Query) -> usize {
     needed(q.map.quorum, q.slots.len())
 }
 
-fn count_in(q: &Query) -> usize {
+pub(super) fn count_in(q: &Query) -> usize {
     q.slots.iter().filter(|s| s.state == SlotState::In).count()
 }
 
 /// The one function that changes a slot's state.
-fn shift(slot: &mut Slot, to: SlotState) {
+pub(super) fn shift(slot: &mut Slot, to: SlotState) {
     use SlotState::*;
     let fits = matches!(
         (slot.state, to),
@@ -120,7 +130,7 @@
     slot.state = to;
 }
 
-fn bounce(
+pub(super) fn bounce(
     d: &mut Desk,
     now: Tick,
     (call, rest): (u64, Span),
@@ -132,12 +142,25 @@
     let away = matches!(b.reason, Reason::Crowded | Reason::NoRoom | Reason::OutOfTime);
     again::note(&mut d.strain, now, away);
     b.again_s = Some(again::again_s(&mut d.strain, now, b.reason, rest, &mut d.luck));
+    b.again = Some(again::soon(&mut d.strain, now, rest, &mut d.luck));
     *d.counts.bounced.entry(b.reason).or_default() += 1;
     out.push(Command::Tell { call, outcome: Outcome::Bounce(b) });
 }
 
 fn begin(d: &mut Desk, now: Tick, call: u64, ask: Ask, out: &mut Vec<Command>) {
-    match plan(d, now, call, ask) {
+    let q = plan(d, now, call, ask);
+    start(d, now, call, q, out);
+}
+
+/// Takes a planned query in hand, or sends its caller away.
+pub(super) fn start(
+    d: &mut Desk,
+    now: Tick,
+    call: u64,
+    q: Result<Query, Bounce>,
+    out: &mut Vec<Command>,
+) {
+    match q {
         Err(b) => bounce(d, now, (call, 0), b, None, out),
         Ok(q) => {
             let id = d.next_query;
@@ -148,8 +171,8 @@
     }
 }
 
-/// Fixes everything about a query: its mapping, its shards, its times.
-fn plan(d: &Desk, now: Tick, call: u64, ask: Ask) -> Result<Query, Bounce> {
+/// Whether calls are taken now.
+pub(super) fn taken(d: &Desk, now: Tick) -> Result<(), Bounce> {
     let say = |reason, text: &str| Err(Bounce::new(reason, text));
     match d.door {
         Door::Open => {}
@@ -160,20 +183,37 @@
     if now > d.grip {
         return say(Reason::CutOff, "this node's view may be old: it has no tenure now");
     }
-    let Some(map) = d.view.mappings.get(&ask.mapping).cloned() else {
-        return say(Reason::NoMapping, "no search of that name is configured");
-    };
-    let busy = d.queries.len();
-    if busy >= room_of(map.class) {
+    Ok(())
+}
+
+/// Whether there is room for one more query of a class.
+pub(super) fn room(d: &Desk, class: Class) -> Result<(), Bounce> {
+    let say = |reason, text: &str| Err(Bounce::new(reason, text));
+    if d.queries.len() >= room_of(class) {
         return say(Reason::Crowded, "this node works on all it may for this class");
     }
     let buffered = d.queries.values().filter(|q| wanting(q) > 0).count();
-    if buffered * 100 >= room_of(map.class) * consts::BUFFER_PCT {
+    if buffered * 100 >= room_of(class) * consts::BUFFER_PCT {
         return say(Reason::NoRoom, "too many queries already wait for room at the leafs");
     }
+    Ok(())
+}
+
+/// Fixes everything about a query: its mapping, its shards, its times.
+fn plan(d: &mut Desk, now: Tick, call: u64, ask: Ask) -> Result<Query, Bounce> {
+    let say = |reason, text: &str| Err(Bounce::new(reason, text));
+    taken(d, now)?;
+    let Some(map) = d.view.mappings.get(&ask.mapping).cloned() else {
+        return say(Reason::NoMapping, "no search of that name is configured");
+    };
+    if map.form != Form::Own {
+        return say(Reason::NoMapping, "this search is called by host and path");
+    }
+    room(d, map.class)?;
     let shards = match (map.send, &ask.key) {
         (Send::Wide, _) => (0..map.shards.len()).collect(),
         (Send::One, Some(key)) => vec![shard_of(&map, key)],
+        (Send::Weighed, _) => vec![hand::drawn(&map, &mut d.luck)],
         (Send::One, None) => {
             return say(Reason::NoKey, "this search looks up one thing: give its `key`");
         }
@@ -196,6 +236,10 @@
         digest: digest(&body),
         body: std::sync::Arc::new(body),
         slots: shards.into_iter().map(slot).collect(),
+        parcel: None,
+        hold: now + usable,
+        ran: false,
+        last: None,
         map,
     })
 }
@@ -205,7 +249,7 @@
     (hash(key) % map.shards.len() as u64) as usize
 }
 
-fn slot(shard: usize) -> Slot {
+pub(super) fn slot(shard: usize) -> Slot {
     Slot {
         shard,
         state: SlotState::Wanting,
@@ -214,26 +258,28 @@
         outs: Vec::new(),
         next_at: 0,
         records: Vec::new(),
+        part: None,
+        counted: false,
     }
 }
 
 /// Moves every query on: timers, and room that may have come free. Urgent
 /// queries are served first, then those that end soonest.
-fn sweep(d: &mut Desk, now: Tick, out: &mut Vec<Command>) {
+pub(super) fn sweep(d: &mut Desk, now: Tick, out: &mut Vec<Command>) {
     let mut ids: Vec<_> = d
         .queries
         .iter()
         .filter(|(_, q)| due(q) <= now || wanting(q) > 0)
-        .map(|(id, q)| (std::cmp::Reverse(q.map.class), q.end, *id))
+        .map(|(id, q)| (std::cmp::Reverse(q.map.class), q.map.rank, q.end, *id))
         .collect();
     ids.sort_unstable();
-    for (_, _, id) in ids {
+    for (_, _, _, id) in ids {
         advance(d, now, id, out);
     }
 }
 
 /// Moves one query as far as it goes now.
-fn advance(d: &mut Desk, now: Tick, id: u64, out: &mut Vec<Command>) {
+pub(super) fn advance(d: &mut Desk, now: Tick, id: u64, out: &mut Vec<Command>) {
     let Some(mut q) = d.queries.swap_remove(&id) else { return };
     if now < q.end {
         for i in 0..q.slots.len() {
@@ -249,7 +295,7 @@
         q.slots.iter().filter(|s| matches!(s.state, SlotState::Wanting | SlotState::Out)).count();
     let outcome = if open == 0 || now >= q.end {
         if have >= need { Ok(()) } else { Err(reason(&q, now)) }
-    } else if have >= need && now >= q.stop_at {
+    } else if have >= need && now >= q.stop_at && hand::enough(&q, have) {
         Ok(())
     } else if have + open < need {
         Err(reason(&q, now))
@@ -282,17 +328,17 @@
         Choice::None if slot.tries == 0 => shift(slot, SlotState::Lost(Reason::NoLeafs)),
         Choice::None => shift(slot, SlotState::Lost(Reason::BelowQuorum)),
         Choice::Full => {
-            if since(now, q.end) < quickest(d, q, i) {
+            if now >= q.hold || since(now, q.end) < quickest(d, q, i) {
                 shift(&mut q.slots[i], SlotState::Lost(Reason::NoRoom));
             }
         }
         Choice::Leaf(info) => {
-            if slot.tries > 0 && !rule::second(&mut d.rule, now) {
+            if slot.tries > 0 && !leave(d, now, q, &info.service) {
                 d.counts.denied += 1;
-                shift(slot, SlotState::Lost(Reason::BelowQuorum));
+                shift(&mut q.slots[i], SlotState::Lost(Reason::BelowQuorum));
                 return;
             }
-            shift(slot, SlotState::Out);
+            shift(&mut q.slots[i], SlotState::Out);
             send(d, now, id, q, i, &info, out);
         }
     }
@@ -306,14 +352,22 @@
     }
     let Choice::Leaf(info) = pick(d, now, q, i) else {
         // Nobody to ask now; look again after a like wait.
-        q.slots[i].next_at = wait_until(q, now);
+        q.slots[i].next_at = wait_until(d, q, now);
         return;
     };
-    if rule::second(&mut d.rule, now) {
+    if leave(d, now, q, &info.service) {
         send(d, now, id, q, i, &info, out);
     } else {
         d.counts.denied += 1;
-        q.slots[i].next_at = wait_until(q, now);
+        q.slots[i].next_at = wait_until(d, q, now);
+    }
+}
+
+/// Asks the rule that holds for a query whether it may send a second try.
+fn leave(d: &mut Desk, now: Tick, q: &Query, service: &str) -> bool {
+    match q.parcel {
+        None => rule::second(&mut d.rule, now),
+        Some(_) => quota::second(&mut d.quota, service),
     }
 }
 
@@ -337,8 +391,17 @@
         .unwrap_or(0)
 }
 
-/// The end of a dispatch's wait: its share of the time left, at least 1 ms.
-fn wait_until(q: &Query, now: Tick) -> Tick {
+/// The end of a dispatch's wait: what such dispatches usually take where that
+/// is learned, else its share of the time left, at least 1 ms.
+fn wait_until(d: &Desk, q: &Query, now: Tick) -> Tick {
+    if q.map.once {
+        return Tick::MAX;
+    }
+    if q.parcel.is_some()
+        && let Some(wait) = waits::wait(&d.waits, &q.map.name, q.map.target)
+    {
+        return now + wait;
+    }
     now + (since(now, q.end) * q.map.wait_pct / 100).max(crate::time::MILLI)
 }
 
@@ -353,13 +416,17 @@
 ) {
     let num = d.next_dispatch;
     d.next_dispatch += 1;
-    let wait = wait_until(q, now);
+    let wait = wait_until(d, q, now);
     let slot = &mut q.slots[i];
-    if slot.tries == 0 {
-        rule::first(&mut d.rule, now);
-        d.counts.firsts += 1;
-    } else {
+    if slot.tries > 0 {
         d.counts.seconds += 1;
+    } else if !slot.counted {
+        slot.counted = true;
+        match q.parcel {
+            None => rule::first(&mut d.rule, now),
+            Some(_) => quota::first(&mut d.quota, &info.service),
+        }
+        d.counts.firsts += 1;
     }
     slot.tries += 1;
     slot.next_at = wait;
@@ -378,6 +445,7 @@
             service: info.service.clone(),
             id: name.clone(),
             at: now,
+            handed: q.parcel.is_some(),
         },
     );
     out.push(Command::Send(Sending {
@@ -389,6 +457,8 @@
         digest: q.digest.clone(),
         body: q.body.clone(),
         budget: since(now, q.end),
+        parcel: q.parcel.clone(),
+        once: q.map.once,
     }));
 }
 
@@ -399,9 +469,13 @@
         hear(d, now, &sent, raw, out);
     }
     let Some(mut q) = d.queries.swap_remove(&sent.query) else {
+        hand::late(d, now, &sent, &got);
         free(d, &sent);
-        return;
+        return sweep(d, now, out);
     };
+    if q.parcel.is_some() {
+        return hand::reply(d, now, (num, sent), q, got, out);
+    }
     let limit = q.limit;
     let checked = got.and_then(|raw| {
         let want =
@@ -466,7 +540,7 @@
 }
 
 /// Takes in what a leaf says of itself.
-fn hear(d: &mut Desk, now: Tick, sent: &Dispatch, raw: &Raw, out: &mut Vec<Command>) {
+pub(super) fn hear(d: &mut Desk, now: Tick, sent: &Dispatch, raw: &Raw, out: &mut Vec<Command>) {
     let Some(l) = d.leafs.get_mut(&sent.leaf) else { return };
     let before = l.leaving;
     // A reply of another leaf, at a reused address, says of ours only that it
@@ -476,6 +550,9 @@
         l.leaving = true;
     } else {
         leaf::word(l, &self_word(&raw.heads), now);
+        if let Some(load) = raw.heads.load {
+            seen::hear(l, load);
+        }
     }
     if l.leaving && !before {
         let word = Word { leaf: sent.leaf.clone(), leaving: !gone, gone, age_ms: 0 };
@@ -483,7 +560,7 @@
     }
 }
 
-fn free(d: &mut Desk, sent: &Dispatch) {
+pub(super) fn free(d: &mut Desk, sent: &Dispatch) {
     if let Some(l) = d.leafs.get_mut(&sent.leaf) {
         l.live -= 1;
         if l.live == 0 && !d.view.leafs.contains_key(&sent.leaf) {
@@ -492,7 +569,12 @@
     }
 }
 
-fn drop_out(d: &mut Desk, num: u64, out: &mut Vec<Command>) {
+pub(super) fn drop_out(d: &mut Desk, num: u64, out: &mut Vec<Command>) {
+    // What was handed over is not broken off: the leaf works on it, and the
+    // wire is whole again once it has answered.
+    if d.dispatches.get(&num).is_some_and(|s| s.handed) {
+        return;
+    }
     if let Some(sent) = d.dispatches.swap_remove(&num) {
         free(d, &sent);
         d.counts.dropped += 1;
@@ -532,6 +614,7 @@
             {
                 leaf::bad(l, now);
                 *d.counts.trouble.entry(Trouble::OutOfTime).or_default() += 1;
+                q.ran = true;
             }
             drop_out(d, num, out);
         }
@@ -546,10 +629,22 @@
             Reason::NoLeafs => "a needed shard has no leaf that may be asked",
             _ => "too many shards failed and no more tries were allowed",
         };
+        // A leaf's own failure says more than ours would.
+        if let (Some(parcel), Some(raw)) = (&q.parcel, &q.last)
+            && q.map.form == Form::Pass
+        {
+            let passed = Passed { id: parcel.id.clone(), raw: raw.clone() };
+            return out.push(Command::Tell { call: q.call, outcome: Outcome::Passed(passed) });
+        }
         let rest = rest(d, now, &q);
-        return bounce(d, now, (q.call, rest), Bounce::new(why, text), Some(q.name), out);
+        let mut b = Bounce::new(why, text);
+        b.ran = q.ran;
+        return bounce(d, now, (q.call, rest), b, Some(q.name), out);
     }
     again::note(&mut d.strain, now, false);
+    if let Some(parcel) = q.parcel.clone() {
+        return hand::finish(d, q, &parcel, out);
+    }
     let (mut shards, mut lists) = (Vec::new(), Vec::new());
     let planned = q.slots.len();
     for s in q.slots.into_iter().filter(|s| s.state == SlotState::In) {
--- /dev/null
+++ b/crates/grebe/src/query/waits.rs
@@ -0,0 +1,52 @@
+//! How long a dispatch of a search usually takes: a running quantile, after
+//! which a second try is worth its price.
+
+use indexmap::IndexMap;
+
+use crate::consts;
+use crate::time::{MILLI, Span};
+
+/// The learned quantile of each search.
+#[derive(Default)]
+pub struct Waits {
+    known: IndexMap<String, Span>,
+}
+
+/// Notes how long a dispatch took. The mark moves up by much for each one
+/// above it and down by little for each below, in the ratio at which just the
+/// wanted part of them lies below.
+pub fn note(w: &mut Waits, search: &str, took: Span) {
+    let q = consts::WAIT_QUANTILE;
+    match w.known.get_mut(search) {
+        None => {
+            w.known.insert(search.to_string(), took.max(MILLI) * 2);
+        }
+        Some(mark) => {
+            let stride = (*mark / 16).max(MILLI / 10);
+            if took > *mark {
+                *mark += stride * q / 1_000;
+            } else {
+                *mark = mark.saturating_sub(stride * (1_000 - q) / 1_000).max(MILLI);
+            }
+        }
+    }
+}
+
+/// The wait before a second try of a search, with its target if it has one.
+pub fn wait(w: &Waits, search: &str, target: Option<Span>) -> Option<Span> {
+    match (w.known.get(search), target) {
+        (Some(mark), _) => {
+            let stretched = mark * consts::WAIT_STRETCH_PCT / 100 + consts::WAIT_MORE;
+            Some(stretched.max(consts::WAIT_MIN))
+        }
+        (None, Some(target)) => {
+            Some((target * consts::WAIT_TARGET_PCT / 100).max(consts::WAIT_MIN))
+        }
+        (None, None) => None,
+    }
+}
+
+/// Forgets searches that are no longer known.
+pub fn keep(w: &mut Waits, known: impl Fn(&str) -> bool) {
+    w.known.retain(|s, _| known(s));
+}
--- a/crates/grebe/src/state/operate.rs
+++ b/crates/grebe/src/state/operate.rs
@@ -4,7 +4,7 @@
 use super::core::{Command, Core, Op};
 use super::owner::{self, change, tell};
 use super::part::{OpFrom, Part, Reading, Role};
-use crate::config::change::{Entry, changes, config, patched};
+use crate::config::change::{Entry, changes, config, patched, replaced};
 use crate::config::{build, read};
 use crate::consts;
 use crate::digest::digest;
@@ -206,7 +206,10 @@
         return tell(from, Done::Moved { revision: p.copy.rev }, out);
     }
     let entries = match planned(&p.copy.map, whole, text) {
-        Ok(entries) => entries,
+        Ok(Planned::Entries(entries)) => entries,
+        Ok(Planned::Moved(edition)) => {
+            return tell(from, Done::Moved { revision: edition }, out);
+        }
         Err(all) => {
             let list = all.into_iter().map(|f| (f.place, f.text)).collect();
             return tell(from, Done::Wrong(list), out);
@@ -221,13 +224,34 @@
     owner::settle(p, now, out);
 }
 
-/// The entries that a request changes, or all that is wrong with it.
-fn planned(map: &Map, whole: bool, text: &[u8]) -> Result<Vec<Entry>, Vec<Finding>> {
+/// What a request comes to.
+enum Planned {
+    /// The entries that it changes.
+    Entries(Vec<Entry>),
+    /// It builds on another edition than this one, which stands.
+    Moved(u64),
+}
+
+/// The entries that a request changes, or all that is wrong with it. A request
+/// that names the edition it builds on is held to it, and one that names its
+/// own must go beyond the one that stands.
+fn planned(map: &Map, whole: bool, text: &[u8]) -> Result<Planned, Vec<Finding>> {
     let old =
         config(map).map_err(|text| vec![Finding { place: "stored configuration".into(), text }])?;
-    let new = if whole { read::whole(text)? } else { patched(old.clone(), &read::patch(text)?) };
+    let new = if whole {
+        replaced(&old, read::whole(text)?)
+    } else {
+        patched(old.clone(), &read::patch(text)?)
+    };
+    if new.turn.after.is_some_and(|n| n != old.terms.edition) {
+        return Ok(Planned::Moved(old.terms.edition));
+    }
+    if new.turn.edition.is_some_and(|n| n <= old.terms.edition) {
+        let text = format!("must be above {}, the one that stands", old.terms.edition);
+        return Err(vec![Finding { place: "terms.edition".into(), text }]);
+    }
     build::build(&new)?;
-    Ok(changes(&old, &new))
+    Ok(Planned::Entries(changes(&old, &new)))
 }
 
 fn remembered(val: &[u8]) -> Option<(String, u64)> {
--- a/crates/grebe/src/view/leafs.rs
+++ b/crates/grebe/src/view/leafs.rs
@@ -12,6 +12,10 @@
     pub leaving: bool,
     /// The leaf is at least this old: what it said when it was last probed.
     pub age_ms: u64,
+    /// Dispatches it works on at once, if the list says so; else zero.
+    pub slots: u32,
+    /// The list says that it is cold.
+    pub cold: bool,
 }
 
 /// Key prefix of leafs within a part of services.
--- a/crates/grebe/src/view/whole.rs
+++ b/crates/grebe/src/view/whole.rs
@@ -18,14 +18,24 @@
     pub built: Arc<Built>,
     /// Mappings by name, each pinned by the queries that use it.
     pub mappings: IndexMap<String, Arc<Mapping>>,
+    /// Mappings by host, those with the longest path first.
+    pub hosts: IndexMap<String, Vec<Arc<Mapping>>>,
     pub services: IndexMap<String, Vec<Arc<LeafInfo>>>,
     pub leafs: IndexMap<String, Arc<LeafInfo>>,
 }
 
 /// A view from its sources.
 pub fn view(revision: u64, built: Arc<Built>, leafs: Vec<LeafInfo>) -> View {
-    let mappings = built.mappings.iter().map(|(n, m)| (n.clone(), Arc::new(m.clone()))).collect();
-    let mut out = View { revision, built, mappings, ..View::default() };
+    let mappings: IndexMap<_, _> =
+        built.mappings.iter().map(|(n, m)| (n.clone(), Arc::new(m.clone()))).collect();
+    let mut hosts: IndexMap<String, Vec<Arc<Mapping>>> = IndexMap::new();
+    for map in mappings.values().filter(|m| !m.host.is_empty()) {
+        hosts.entry(map.host.to_ascii_lowercase()).or_default().push(map.clone());
+    }
+    for list in hosts.values_mut() {
+        list.sort_by_key(|m| std::cmp::Reverse(m.path.len()));
+    }
+    let mut out = View { revision, built, mappings, hosts, ..View::default() };
     for leaf in leafs {
         let leaf = Arc::new(leaf);
         out.services.entry(leaf.service.clone()).or_default().push(leaf.clone());
@@ -34,6 +44,14 @@
     out
 }
 
+/// The mapping of a call: of its host's, the longest path that begins its own.
+pub fn found<'a>(view: &'a View, host: &str, path: &str) -> Option<&'a Arc<Mapping>> {
+    let host = host.to_ascii_lowercase();
+    let bare = host.rsplit_once(':').map_or(host.as_str(), |(name, _)| name);
+    let list = view.hosts.get(&host).or_else(|| view.hosts.get(bare))?;
+    list.iter().find(|m| path.starts_with(&m.path))
+}
+
 /// The leafs of a pool that may get new work under this view: chosen by the
 /// pool, of the mapping's cut, not leaving, in no emptied zone.
 pub fn open<'a>(
--- a/crates/grebe/tests/desk.rs
+++ b/crates/grebe/tests/desk.rs
@@ -33,6 +33,8 @@
                     labels,
                     leaving: false,
                     age_ms: 3_600_000,
+                    slots: 0,
+                    cold: false,
                 });
             }
         }
--- a/crates/programs/src/controller/door.rs
+++ b/crates/programs/src/controller/door.rs
@@ -3,7 +3,7 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::error_handling::HandleErrorLayer;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
@@ -12,6 +12,7 @@
 use grebe::edge::operator::{self, CONFIG, EXPECT_REVISION, Operated, REQUEST_ID, STATUS, write};
 use grebe::lang::finding::Finding;
 use grebe::wire::msg::{Deed, Done};
+use runtime::dialect::{Dialect, Order};
 use serde_json::{Value, json};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -26,6 +27,7 @@
 pub fn serve(
     listener: std::net::TcpListener,
     owner: Owner,
+    dialect: Option<&'static Dialect>,
     mut stop: tokio::sync::watch::Receiver<bool>,
 ) {
     let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
@@ -39,6 +41,7 @@
         .route("/v1/members/{name}", axum::routing::delete(forget))
         .route("/metrics", get(metrics))
         .route("/livez", get(async || "ok\n"))
+        .fallback(move |owner: State<Owner>, req: Request| foreign(owner, dialect, req))
         .layer(DefaultBodyLimit::max(consts::CONFIG_LIMIT))
         // Large requests are few: more than this at once are turned away
         // rather than held in memory.
@@ -61,6 +64,34 @@
     }
 }
 
+/// A call in another manner of speaking than ours.
+async fn foreign(
+    State(owner): State<Owner>,
+    dialect: Option<&'static Dialect>,
+    req: Request,
+) -> Response {
+    let Some(dialect) = dialect else {
+        return answer(404, &json!({ "error": "no such path" }));
+    };
+    let (head, body) = req.into_parts();
+    let Ok(body) = axum::body::to_bytes(body, consts::CONFIG_LIMIT).await else {
+        return answer(413, &json!({ "error": "the body can't be read, or is too large" }));
+    };
+    let resp = match (dialect.order)(&head, &body) {
+        Order::Wrong(resp) => resp,
+        Order::Deed { deed, request } => {
+            let request = request.unwrap_or_else(own_id);
+            (dialect.done)(operate(&owner, request, None, deed).await)
+        }
+    };
+    resp.map(axum::body::Body::from)
+}
+
+/// An id for a request that brought none.
+fn own_id() -> String {
+    format!("auto-{:016x}-{:016x}", runtime::clock::nonce(), runtime::clock::nonce())
+}
+
 fn answer(code: u16, body: &Value) -> Response {
     let code = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let text = format!("{body}\n");
@@ -73,7 +104,7 @@
         |place: &str, text: &str| Finding { place: place.to_string(), text: text.to_string() };
     let text = |name: &str| map.get(name).map(|v| v.to_str().map(str::to_string));
     let request = match text(REQUEST_ID) {
-        None => format!("auto-{:016x}-{:016x}", runtime::clock::nonce(), runtime::clock::nonce()),
+        None => own_id(),
         Some(Ok(id)) if (1..=128).contains(&id.len()) => id,
         Some(_) => return Err(bad(REQUEST_ID, "a request id has 1 to 128 plain characters")),
     };
--- a/crates/programs/src/controller/main.rs
+++ b/crates/programs/src/controller/main.rs
@@ -67,10 +67,11 @@
         .name("disk".into())
         .spawn(move || disk::serve(stores, disk_rx, disk_events))?;
     let door_tx = tx.clone();
+    let dialect = p.dialect;
     let (stop_tx, stop_rx) = tokio::sync::watch::channel(false);
     let door_thread = std::thread::Builder::new()
         .name("door".into())
-        .spawn(move || door::serve(door, door_tx, stop_rx))?;
+        .spawn(move || door::serve(door, door_tx, dialect, stop_rx))?;
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     let end = local.block_on(&rt, owner::serve(p, clock, found, sick, inner, disk_tx, tx, rx));
--- a/crates/programs/src/controller/params.rs
+++ b/crates/programs/src/controller/params.rs
@@ -6,6 +6,7 @@
 use bpaf::{OptionParser, Parser, long};
 use grebe::consts::SEATS;
 use grebe::lang::finding::find;
+use runtime::dialect::Dialect;
 use runtime::params as p;
 
 /// Everything a controller must be told.
@@ -23,6 +24,8 @@
     pub data: PathBuf,
     /// The fleet it belongs to; a number that all its processes share.
     pub fleet: u64,
+    /// How operators speak beside our own manner.
+    pub dialect: Option<&'static Dialect>,
 }
 
 struct Flags {
@@ -34,6 +37,8 @@
     seeds: Option<String>,
     data: Option<String>,
     fleet: Option<String>,
+    dialect: Option<String>,
+    seed_port: Option<String>,
 }
 
 fn flags() -> OptionParser<Flags> {
@@ -54,7 +59,17 @@
         .help("the fleet's name; by default it is known by its seeds")
         .argument("NAME")
         .optional();
-    bpaf::construct!(Flags { file, seat, zone, listen, inner, seeds, data, fleet })
+    let dialect = long("dialect")
+        .help("how operators may speak beside our own manner: own (default) or platform")
+        .argument("NAME")
+        .optional();
+    let seed_port = long("seed-port")
+        .help("port of the seeds' inner addresses, if `seeds` gives others")
+        .argument("N")
+        .optional();
+    bpaf::construct!(Flags {
+        file, seat, zone, listen, inner, seeds, data, fleet, dialect, seed_port
+    })
         .to_options()
         .descr("grebepath's control plane")
 }
@@ -76,17 +91,24 @@
         ("seeds", f.seeds),
         ("data", f.data),
         ("fleet", f.fleet),
+        ("dialect", f.dialect),
+        ("seed_port", f.seed_port),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
-    let seat = p::number(&mut r, "seat", 0, SEATS as u64 - 1, None) as u8;
-    let seeds = p::addrs(&mut r, "seeds", SEATS);
+    let port = p::number(&mut r, "seed_port", 0, 65_535, Some(0)) as u16;
+    let seeds = p::some_addrs(&mut r, "seeds", (port > 0).then_some(port));
+    let inner = p::addr(&mut r, "inner");
+    let here = seeds.iter().position(|s| *s == inner).map(|n| n as u64);
+    let seat = p::number(&mut r, "seat", 0, SEATS as u64 - 1, here) as u8;
+    let dialect = p::word(&mut r, "dialect", &["own", "platform"], "own");
     let out = Params {
         seat,
         fleet: p::fleet(&mut r, &seeds),
         zone: p::name(&mut r, "zone"),
         listen: p::addr(&mut r, "listen"),
-        inner: p::addr(&mut r, "inner"),
+        inner,
         seeds,
+        dialect: (dialect == "platform").then_some(&platform::DIALECT),
         data: PathBuf::from(p::text(&mut r, "data", None)),
     };
     if let Some(seed) = out.seeds.get(usize::from(seat))
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use runtime::clock::{Clock, duration, now};
+use runtime::dialect::Dialect;
 use runtime::http::{Http, call_within};
 use runtime::wire::{Out, WireEvent, accept, dial, send};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -37,6 +38,9 @@
     Drained,
 }
 
+/// The door for checks of readiness, if it is one of its own.
+pub type Checks = Option<(std::net::TcpListener, signal::Receiver<bool>)>;
+
 /// Which wire a message came on.
 #[derive(Clone)]
 enum Tag {
@@ -56,6 +60,8 @@
     input: UnboundedSender<Input>,
     http: Http,
     list: SocketAddr,
+    dialect: Option<&'static Dialect>,
+    probes: bool,
     polling: bool,
     shut: bool,
 }
@@ -64,7 +70,7 @@
 pub async fn serve(
     p: Params,
     clock: Clock,
-    inner: std::net::TcpListener,
+    (inner, checks): (std::net::TcpListener, Checks),
     desks: Vec<UnboundedSender<Work>>,
     (ready, view): (signal::Sender<bool>, signal::Sender<Arc<View>>),
     tx: UnboundedSender<Input>,
@@ -84,6 +90,14 @@
         joined: 0,
     };
     let mut w = watch(me, now(&clock));
+    let mut patience = consts::DRAIN_MAX;
+    if let Some(grace) = p.grace {
+        w.notice = grace * consts::NOTICE_PCT / 100;
+        patience = grace.saturating_sub(consts::GRACE_KEEP);
+    }
+    if let (Some((listener, ready)), Some(dialect)) = (checks, p.dialect) {
+        tokio::task::spawn_local(crate::door::check(listener, dialect.ready, ready));
+    }
     let who = || (Who::Member(p.name.clone()), fleet);
     let seats = p
         .seeds
@@ -103,6 +117,8 @@
         input: tx,
         http: runtime::http::client(2),
         list: p.list,
+        dialect: p.dialect,
+        probes: p.probes,
         polling: false,
         shut: false,
     };
@@ -119,7 +135,10 @@
             biased;
             _ = &mut stop, if !stopping => {
                 stopping = true;
-                until = tokio::time::Instant::now() + duration(consts::DRAIN_MAX);
+                until = tokio::time::Instant::now() + duration(patience);
+                for desk in &io.desks {
+                    let _ = desk.send(Work::Leaving);
+                }
                 Some(Event::Stop)
             }
             _ = wake.tick() => Some(Event::Wake),
@@ -217,7 +236,8 @@
                 let _ = io.ready.send(ready);
             }
             Command::PollList => poll(io),
-            Command::Probe(list) => probe(io, list),
+            Command::Probe(list) if io.probes => probe(io, list),
+            Command::Probe(_) => {}
             Command::Alarm(text) => warn!(me = io.me, "{text}"),
         }
     }
@@ -255,13 +275,42 @@
     }
     io.polling = true;
     let (http, addr, input) = (io.http.clone(), io.list, io.input.clone());
+    let dialect = io.dialect;
     tokio::task::spawn_local(async move {
-        let _ = input.send(Input::List(fetch(&http, addr).await));
+        let got = match dialect {
+            Some(dialect) => pages(&http, addr, dialect).await,
+            None => fetch(&http, addr).await,
+        };
+        let _ = input.send(Input::List(got));
     });
 }
 
-async fn fetch(http: &Http, addr: SocketAddr) -> Result<Vec<LeafInfo>, String> {
-    let req = Request::get(format!("http://{addr}{}", list::PATH))
+/// Reads a list in another manner, page by page. Only a whole list is one.
+async fn pages(http: &Http, addr: SocketAddr, d: &Dialect) -> Result<Vec<LeafInfo>, String> {
+    let mut out: Vec<LeafInfo> = Vec::new();
+    let mut next: Option<String> = None;
+    for _ in 0..consts::LIST_PAGES {
+        let body = get(http, addr, &(d.list)(next.as_deref())).await?;
+        let page = (d.page)(&body).map_err(|f| f.to_string())?;
+        for f in page.findings {
+            debug!("the platform's list: {f}");
+        }
+        // A leaf may move from page to page while they are read.
+        for leaf in page.leafs {
+            if !out.iter().any(|l| l.leaf == leaf.leaf) {
+                out.push(leaf);
+            }
+        }
+        match page.next {
+            None => return Ok(out),
+            next_page => next = next_page,
+        }
+    }
+    Err("the list has no end".into())
+}
+
+async fn get(http: &Http, addr: SocketAddr, path: &str) -> Result<bytes::Bytes, String> {
+    let req = Request::get(format!("http://{addr}{path}"))
         .body(Full::default())
         .map_err(|e| e.to_string())?;
     let wait = duration(consts::LIST_PATIENCE);
@@ -269,7 +318,12 @@
     if resp.status() != 200 {
         return Err(format!("status {}", resp.status()));
     }
-    let (leafs, all) = list::read(resp.body()).map_err(|f| f.to_string())?;
+    Ok(resp.into_body())
+}
+
+async fn fetch(http: &Http, addr: SocketAddr) -> Result<Vec<LeafInfo>, String> {
+    let body = get(http, addr, list::PATH).await?;
+    let (leafs, all) = list::read(&body).map_err(|f| f.to_string())?;
     for f in all {
         warn!("the platform's list: {f}");
     }
--- a/crates/programs/src/querier/door.rs
+++ b/crates/programs/src/querier/door.rs
@@ -1,5 +1,6 @@
 //! The door for callers and for the platform's checks.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
@@ -14,11 +15,13 @@
 use grebe::query::ask::{Ask, Bounce, Outcome, Reason};
 use grebe::query::desk::{Event, room_of};
 use grebe::view::whole::View;
+use runtime::dialect::Dialect;
+use runtime::handed;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch};
 
 use crate::control::Input;
-use crate::traffic::Work;
+use crate::traffic::{Called, Work};
 
 /// Calls are numbered over all threads of the process.
 static NEXT_CALL: AtomicU64 = AtomicU64::new(1);
@@ -125,7 +128,7 @@
     }
     let (tell, told) = oneshot::channel();
     let outcome =
-        if door.here.send(Work::Call { call, ask, tell }).is_ok() { told.await.ok() } else { None };
+        if door.here.send(Work::Call { call, called: Called::Own(ask), tell }).is_ok() { told.await.ok() } else { None };
     guard.done = true;
     let outcome = outcome.unwrap_or_else(|| {
         Outcome::Bounce(Bounce::new(Reason::Stopping, "this node is going down"))
@@ -133,6 +136,52 @@
     written(&outcome)
 }
 
+/// Serves the door for calls that are handed over.
+pub async fn hand(
+    listener: std::net::TcpListener,
+    door: Rc<handed::Door>,
+    here: UnboundedSender<Work>,
+    dialect: &'static Dialect,
+) {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let answer = move |head, body| {
+        let (here, calls) = (here.clone(), calls.clone());
+        async move {
+            let parcel = Arc::new((dialect.call)(head, body));
+            let call = NEXT_CALL.fetch_add(1, Ordering::Relaxed);
+            calls.fetch_add(1, Ordering::Relaxed);
+            let mut guard = Guard { call, here: here.clone(), calls, done: false };
+            let (tell, told) = oneshot::channel();
+            let called = Called::Handed(parcel);
+            let outcome = match here.send(Work::Call { call, called, tell }) {
+                Ok(()) => told.await.ok(),
+                Err(_) => None,
+            };
+            guard.done = true;
+            let gone = || Bounce::new(Reason::Stopping, "this node is going down");
+            (dialect.told)(outcome.unwrap_or_else(|| Outcome::Bounce(gone())))
+        }
+    };
+    handed::serve(listener, door, answer).await;
+}
+
+/// Serves the address at which readiness alone is asked.
+pub async fn check(listener: std::net::TcpListener, path: &str, ready: watch::Receiver<bool>) {
+    let router = Router::new().route(
+        path,
+        get(async move || {
+            if *ready.borrow() {
+                return "ready\n".into_response();
+            }
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+        }),
+    );
+    let never = std::future::pending();
+    if let Err(e) = runtime::http::serve(listener, consts::CHECK_WIRES, router, never).await {
+        tracing::error!("the door for checks: {e}");
+    }
+}
+
 fn written(outcome: &Outcome) -> Response {
     let out = caller::write(outcome);
     let code = StatusCode::from_u16(out.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/programs/src/querier/leafs.rs
+++ b/crates/programs/src/querier/leafs.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response};
 use runtime::clock::duration;
+use runtime::dialect::Dialect;
 use runtime::http::{Http, HttpTrouble, call_within};
 use runtime::leafs::{Got, Pool, exchange};
 
@@ -54,6 +55,22 @@
     }
 }
 
+/// Sends one dispatch of a call that is handed over.
+pub async fn hand(pool: &Pool, s: Sending, dialect: &'static Dialect) -> Result<Raw, Trouble> {
+    let addr: SocketAddr = s.addr.parse().map_err(|_| Trouble::Unreachable)?;
+    let work = (dialect.work)(&s).ok_or(Trouble::Unreachable)?;
+    let whom = (addr, s.leaf.as_str());
+    let fits = |r: &Response<Bytes>| !(dialect.reply)(&s, r.clone()).heads.foreign;
+    let sent = runtime::leafs::hand(pool, whom, work, (REPLY_LIMIT, s.once), fits);
+    match tokio::time::timeout(duration(s.budget), sent).await {
+        Ok(Ok(resp)) => Ok((dialect.reply)(&s, resp)),
+        Ok(Err(HttpTrouble::Unreachable(_))) => Err(Trouble::Unreachable),
+        Ok(Err(HttpTrouble::Cut(_))) => Err(Trouble::Cut),
+        Ok(Err(HttpTrouble::TooLarge)) => Err(Trouble::Overlong),
+        Ok(Err(HttpTrouble::Late)) | Err(_) => Err(Trouble::OutOfTime),
+    }
+}
+
 fn raw(resp: Response<Bytes>) -> Raw {
     let heads = heads(resp.headers());
     Raw { status: resp.status().as_u16(), heads, body: resp.body().to_vec() }
@@ -93,5 +110,6 @@
         state: one(leaf::LEAF_STATE),
         cut: one(leaf::CUT),
         unrun: map.contains_key(leaf::UNRUN),
+        ..Heads::default()
     }
 }
--- a/crates/programs/src/querier/main.rs
+++ b/crates/programs/src/querier/main.rs
@@ -24,6 +24,10 @@
     let listeners = runtime::http::listen(p.listen, p.threads)?;
     let addr = listeners[0].local_addr()?;
     let inner = std::net::TcpListener::bind(p.inner)?;
+    let check = match p.check {
+        Some(addr) => Some(runtime::http::listen(addr, 1)?.remove(0)),
+        None => None,
+    };
     println!("querier {} inner {} door {addr}", p.name, inner.local_addr()?);
     let clock = runtime::clock::clock();
     let life = runtime::clock::nonce();
@@ -38,6 +42,7 @@
         desks.push(work_tx);
         ends.push(work_rx);
     }
+    let checks = check.map(|listener| (listener, ready_rx.clone()));
     let all =
         door::All { desks: desks.clone(), control: tx.clone(), ready: ready_rx, view: view_rx };
     let mut threads = Vec::new();
@@ -52,6 +57,8 @@
             all: all.clone(),
             control: tx.clone(),
             stop: stop_rx.clone(),
+            dialect: p.dialect,
+            rate: p.rate,
         };
         threads.push(
             std::thread::Builder::new()
@@ -62,7 +69,7 @@
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     let end =
-        local.block_on(&rt, control::serve(p, clock, inner, desks, (ready_tx, view_tx), tx, rx));
+        local.block_on(&rt, control::serve(p, clock, (inner, checks), desks, (ready_tx, view_tx), tx, rx));
     let _ = stop_tx.send(true);
     let joined = threads.into_iter().all(|t| t.join().is_ok());
     end.and(if joined { Ok(()) } else { Err(std::io::Error::other("a thread failed")) })
--- a/crates/programs/src/querier/params.rs
+++ b/crates/programs/src/querier/params.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, long};
-use grebe::consts::SEATS;
+use grebe::query::quota::Rate;
+use grebe::time::Span;
+use runtime::dialect::Dialect;
 use runtime::params as p;
 
 /// Everything a querier must be told.
@@ -24,6 +26,16 @@
     /// Where the platform serves its list of leafs.
     pub list: SocketAddr,
     pub threads: u32,
+    /// How the world outside speaks; nothing for our own manner.
+    pub dialect: Option<&'static Dialect>,
+    /// Where the platform asks whether it is ready, if not at `listen`.
+    pub check: Option<SocketAddr>,
+    /// The fleet's rule of second tries for calls that are handed over.
+    pub rate: Rate,
+    /// Time from the wish to stop until the process must be gone.
+    pub grace: Option<Span>,
+    /// Whether leafs are asked about themselves.
+    pub probes: bool,
 }
 
 struct Flags {
@@ -37,6 +49,18 @@
     seeds: Option<String>,
     list: Option<String>,
     threads: Option<String>,
+    dialect: Option<String>,
+    check: Option<String>,
+    more: More,
+}
+
+/// Flags that only some deployments need.
+struct More {
+    seed_port: Option<String>,
+    second_share: Option<String>,
+    second_slack: Option<String>,
+    grace_s: Option<String>,
+    probes: Option<String>,
 }
 
 fn flags() -> OptionParser<Flags> {
@@ -62,6 +86,33 @@
         .help("the fleet's name; by default it is known by its seeds")
         .argument("NAME")
         .optional();
+    let dialect = long("dialect")
+        .help("how callers, leafs and the list speak: own (default) or platform")
+        .argument("NAME")
+        .optional();
+    let check = long("check")
+        .help("address at which readiness is asked, if it is another")
+        .argument("IP:PORT")
+        .optional();
+    let seed_port = long("seed-port")
+        .help("port of the seeds' inner addresses, if `seeds` gives others")
+        .argument("N")
+        .optional();
+    let second_share = long("second-share")
+        .help("second tries for each call that is handed over, 0 to 1")
+        .argument("SHARE")
+        .optional();
+    let second_slack = long("second-slack")
+        .help("second tries beyond that, over the whole fleet")
+        .argument("N")
+        .optional();
+    let grace_s = long("grace-s")
+        .help("seconds from the wish to stop until the process must be gone")
+        .argument("S")
+        .optional();
+    let probes =
+        long("probes").help("whether leafs are probed: on (default) or off").argument("W").optional();
+    let more = bpaf::construct!(More { seed_port, second_share, second_slack, grace_s, probes });
     bpaf::construct!(Flags {
         file,
         name,
@@ -72,7 +123,10 @@
         fleet,
         seeds,
         list,
-        threads
+        threads,
+        dialect,
+        check,
+        more
     })
     .to_options()
     .descr("grebepath's data plane")
@@ -97,9 +151,19 @@
         ("seeds", f.seeds),
         ("list", f.list),
         ("threads", f.threads),
+        ("dialect", f.dialect),
+        ("check", f.check),
+        ("seed_port", f.more.seed_port),
+        ("second_share", f.more.second_share),
+        ("second_slack", f.more.second_slack),
+        ("grace_s", f.more.grace_s),
+        ("probes", f.more.probes),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
-    let seeds = p::addrs(&mut r, "seeds", SEATS);
+    let port = p::number(&mut r, "seed_port", 0, 65_535, Some(0)) as u16;
+    let seeds = p::some_addrs(&mut r, "seeds", (port > 0).then_some(port));
+    let own = grebe::query::quota::own();
+    let dialect = p::word(&mut r, "dialect", &["own", "platform"], "own");
     let out = Params {
         name: p::name(&mut r, "name"),
         fleet: p::fleet(&mut r, &seeds),
@@ -110,6 +174,14 @@
         seeds,
         list: p::addr(&mut r, "list"),
         threads: p::number(&mut r, "threads", 1, 64, Some(1)) as u32,
+        dialect: (dialect == "platform").then_some(&platform::DIALECT),
+        check: p::maybe_addr(&mut r, "check"),
+        rate: Rate {
+            share: p::thousandths(&mut r, "second_share", own.share),
+            slack: p::number(&mut r, "second_slack", 0, 1_000_000, Some(own.slack)),
+        },
+        grace: p::seconds(&mut r, "grace_s"),
+        probes: p::word(&mut r, "probes", &["on", "off"], "on") == "on",
     };
     let all = p::done(&mut r);
     p::exit_if_any("querier", &all);
--- a/crates/programs/src/querier/traffic.rs
+++ b/crates/programs/src/querier/traffic.rs
@@ -3,11 +3,18 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
+use grebe::config::types::Terms;
 use grebe::query::ask::{Ask, Outcome};
 use grebe::query::desk::{Command, Counts, Desk, Event, counts, desk};
+use grebe::query::parcel::Parcel;
+use grebe::query::quota::{Rate, quota};
 use grebe::query::step::{next, step};
-use runtime::clock::{Clock, instant, now};
+use grebe::time::ms;
+use runtime::clock::{Clock, duration, instant, now};
+use runtime::dialect::Dialect;
+use runtime::handed;
 use runtime::leafs::Pool;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
@@ -22,14 +29,24 @@
     Event(Event),
     Call {
         call: u64,
-        ask: Ask,
+        called: Called,
         tell: oneshot::Sender<Outcome>,
     },
     Counts(oneshot::Sender<Counts>),
+    /// This node will leave soon: callers are asked to go elsewhere.
+    Leaving,
     /// Finish what is in hand and say so.
     Drain,
 }
 
+/// What a caller wants.
+pub enum Called {
+    /// An answer to a question of our own.
+    Own(Ask),
+    /// A call that is handed over.
+    Handed(Arc<Parcel>),
+}
+
 /// What a traffic thread begins with.
 pub struct Setup {
     pub name: String,
@@ -41,6 +58,8 @@
     pub all: All,
     pub control: UnboundedSender<Input>,
     pub stop: tokio::sync::watch::Receiver<bool>,
+    pub dialect: Option<&'static Dialect>,
+    pub rate: Rate,
 }
 
 /// Beside the desk: who waits for an outcome, and the dispatches' tasks.
@@ -48,6 +67,8 @@
     tells: HashMap<u64, oneshot::Sender<Outcome>>,
     tasks: HashMap<u64, AbortHandle>,
     leafs: Rc<Pool>,
+    dialect: Option<&'static Dialect>,
+    door: Rc<handed::Door>,
     here: UnboundedSender<Work>,
     control: UnboundedSender<Input>,
 }
@@ -61,14 +82,28 @@
     let local = tokio::task::LocalSet::new();
     local.block_on(&rt, async move {
         let mut stop = s.stop.clone();
-        let router = crate::door::router(s.all.clone(), s.here.clone());
-        let until = async move {
-            let _ = stop.wait_for(|s| *s).await;
+        let outer = handed::door();
+        let (listener, all, here) = (s.listener, s.all, s.here.clone());
+        let (dialect, shared) = (s.dialect, outer.clone());
+        let door = async move {
+            if let Some(dialect) = dialect {
+                crate::door::hand(listener, shared, here, dialect).await;
+                return Ok(());
+            }
+            let router = crate::door::router(all, here);
+            let until = async move {
+                let _ = stop.wait_for(|s| *s).await;
+            };
+            let wires = grebe::consts::DOOR_WIRES;
+            runtime::http::serve(listener, wires, router, until).await
         };
-        let wires = grebe::consts::DOOR_WIRES;
-        let door = runtime::http::serve(s.listener, wires, router, until);
-        let desk = Rc::new(RefCell::new(desk(&s.name, &s.zone, s.seed, now(&s.clock))));
+        let mut desk = desk(&s.name, &s.zone, s.seed, now(&s.clock));
+        desk.quota = quota(s.rate);
+        let desk = Rc::new(RefCell::new(desk));
+        let shut = outer.clone();
         let io = Io {
+            dialect,
+            door: outer,
             tells: HashMap::new(),
             tasks: HashMap::new(),
             leafs: runtime::leafs::pool(grebe::consts::LEAF_WIRES),
@@ -87,6 +122,8 @@
             // The door's own wish to finish kept-alive wires may take long.
             _ = async {
                 let _ = stop.wait_for(|s| *s).await;
+                // Answers that are written already still have to leave.
+                handed::close(&shut);
                 tokio::time::sleep(std::time::Duration::from_millis(200)).await;
             } => {}
         }
@@ -109,9 +146,16 @@
                     }
                     Some(event)
                 }
-                Some(Work::Call { call, ask, tell }) => {
+                Some(Work::Call { call, called, tell }) => {
                     io.tells.insert(call, tell);
-                    Some(Event::Ask { call, ask })
+                    Some(match called {
+                        Called::Own(ask) => Event::Ask { call, ask },
+                        Called::Handed(parcel) => Event::Hand { call, parcel },
+                    })
+                }
+                Some(Work::Leaving) => {
+                    io.door.leaving.set(true);
+                    None
                 }
                 Some(Work::Counts(tell)) => {
                     let _ = tell.send(counts(&desk.borrow()));
@@ -128,8 +172,12 @@
             } } => Some(Event::Wake),
         };
         if let Some(event) = event {
-            if let Event::Gone { call } = &event {
-                io.tells.remove(call);
+            match &event {
+                Event::Gone { call } => {
+                    io.tells.remove(call);
+                }
+                Event::View(view) => limit(&io.door, &view.built.terms),
+                _ => {}
             }
             let todo = step(&mut desk.borrow_mut(), now(&clock), event);
             carry_out(&mut io, todo);
@@ -141,14 +189,31 @@
     }
 }
 
+/// Holds callers to what the configuration allows them.
+fn limit(door: &handed::Door, terms: &Terms) {
+    let own = handed::limits();
+    let size = |n: u64, own| if n > 0 { n as usize } else { own };
+    let time = |n: u64, own| if n > 0 { duration(ms(n)) } else { own };
+    door.limits.set(handed::Limits {
+        head_max: size(terms.head_max, own.head_max),
+        body_max: size(terms.body_max, own.body_max),
+        head_wait: time(terms.head_wait_ms, own.head_wait),
+        idle: time(terms.idle_ms, own.idle),
+    });
+}
+
 fn carry_out(io: &mut Io, todo: Vec<Command>) {
     for command in todo {
         match command {
             Command::Send(sending) => {
                 let (leafs, here) = (io.leafs.clone(), io.here.clone());
                 let dispatch = sending.dispatch;
+                let dialect = io.dialect.filter(|_| sending.parcel.is_some());
                 let task = tokio::task::spawn_local(async move {
-                    let got = crate::leafs::send(&leafs, sending).await;
+                    let got = match dialect {
+                        Some(dialect) => crate::leafs::hand(&leafs, sending, dialect).await,
+                        None => crate::leafs::send(&leafs, sending).await,
+                    };
                     let _ = here.send(Work::Event(Event::Reply { dispatch, got }));
                 });
                 io.tasks.insert(dispatch, task.abort_handle());
--- /dev/null
+++ b/crates/runtime/src/dialect.rs
@@ -0,0 +1,54 @@
+//! How another world speaks to our doors, to leafs, of its list and as an
+//! operator: names and formats, as plain functions from bytes to our types and
+//! back. Whoever brings a dialect decides nothing with it.
+
+use bytes::Bytes;
+use grebe::edge::leaf::Raw;
+use grebe::lang::finding::Finding;
+use grebe::query::ask::Outcome;
+use grebe::query::desk::Sending;
+use grebe::query::parcel::Parcel;
+use grebe::view::leafs::LeafInfo;
+use grebe::wire::msg::{Deed, Done};
+use http_body_util::Full;
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+
+/// A manner of speaking.
+pub struct Dialect {
+    /// Path under which a querier is asked whether it is ready.
+    pub ready: &'static str,
+    /// A call, from its head and body.
+    pub call: fn(Parts, Vec<u8>) -> Parcel,
+    /// What the caller is told.
+    pub told: fn(Outcome) -> Response<Bytes>,
+    /// A dispatch towards a leaf; nothing if it can't be written.
+    pub work: fn(&Sending) -> Option<Request<Full<Bytes>>>,
+    /// What a leaf sent back to it.
+    pub reply: fn(&Sending, Response<Bytes>) -> Raw,
+    /// Path of the list's first page, or of a further one.
+    pub list: fn(Option<&str>) -> String,
+    /// One page of the list.
+    pub page: fn(&[u8]) -> Result<Page, Finding>,
+    /// An operator's order.
+    pub order: fn(&Parts, &[u8]) -> Order,
+    /// What the operator is told of it.
+    pub done: fn(Done) -> Response<Bytes>,
+}
+
+/// One page of a list of leafs.
+pub struct Page {
+    pub leafs: Vec<LeafInfo>,
+    /// Single entries that can't be used.
+    pub findings: Vec<Finding>,
+    /// The name of the page after this one.
+    pub next: Option<String>,
+}
+
+/// What an operator's call asks.
+pub enum Order {
+    /// A deed, and the id under which it may safely come again.
+    Deed { deed: Deed, request: Option<String> },
+    /// It can't be read; this is what to say.
+    Wrong(Response<Bytes>),
+}
--- a/crates/runtime/src/leafs.rs
+++ b/crates/runtime/src/leafs.rs
@@ -15,7 +15,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::clock::duration;
 use crate::http::{HttpTrouble, source_text};
+use grebe::consts;
+use grebe::time::SECOND;
+use hyper::body::Body;
+use std::time::Instant;
 
 type Wire = SendRequest<Full<Bytes>>;
 type Key = (SocketAddr, String);
@@ -24,7 +29,7 @@
 ///
 /// Invariant: each of them was greeted by just that identity.
 pub struct Pool {
-    idle: RefCell<HashMap<Key, Vec<Wire>>>,
+    idle: RefCell<HashMap<Key, Vec<(Wire, Instant)>>>,
     most: usize,
 }
 
@@ -68,7 +73,7 @@
         match wire.try_send_request(work).await {
             Ok(resp) => {
                 let resp = whole(resp, limit).await?;
-                keep(pool, key, wire);
+                keep(pool, key, wire, Instant::now() + duration(consts::LEAF_WIRE_IDLE));
                 return Ok(Got::Answer(resp));
             }
             Err(mut e) => match e.take_message() {
@@ -80,28 +85,98 @@
     }
 }
 
+/// Sends work that names its leaf itself, so that whoever else answers there
+/// turns it away: a new wire needs no greeting. `fits` tells whether an answer
+/// belongs to this work; a wire that brought another one is not used again.
+pub async fn hand(
+    pool: &Pool,
+    (addr, leaf): (SocketAddr, &str),
+    mut work: Request<Full<Bytes>>,
+    (limit, once): (usize, bool),
+    fits: impl Fn(&Response<Bytes>) -> bool,
+) -> Result<Response<Bytes>, HttpTrouble> {
+    let key = (addr, leaf.to_string());
+    loop {
+        // A kept wire may end just as it is used: what may run once only does
+        // not go out on one.
+        let kept = if once { None } else { idle(pool, &key).await };
+        let (mut wire, fresh) = match kept {
+            Some(wire) => (wire, false),
+            None => {
+                let dialled = tokio::time::timeout(duration(consts::LEAF_CONNECT), dial(addr));
+                match dialled.await {
+                    Ok(wire) => (wire?, true),
+                    Err(_) => return Err(HttpTrouble::Unreachable("no wire in time".into())),
+                }
+            }
+        };
+        match wire.try_send_request(work).await {
+            Ok(resp) => {
+                let until = trusted(&resp);
+                let resp = whole(resp, limit).await?;
+                if let Some(until) = until
+                    && fits(&resp)
+                {
+                    keep(pool, key, wire, until);
+                }
+                return Ok(resp);
+            }
+            Err(mut e) => match e.take_message() {
+                // An unused wire had ended; not a byte of the work has left.
+                Some(back) if !fresh => work = back,
+                Some(_) => return Err(HttpTrouble::Unreachable(source_text(e.error()))),
+                None => return Err(cut(e.error())),
+            },
+        }
+    }
+}
+
+/// Until when a wire may be used again, by what its leaf says of it.
+fn trusted(resp: &Response<hyper::body::Incoming>) -> Option<Instant> {
+    let heads = resp.headers();
+    let says = |name, word: &str| {
+        let vals = heads.get_all::<hyper::header::HeaderName>(name).iter();
+        vals.filter_map(|v| v.to_str().ok()).any(|v| v.to_ascii_lowercase().contains(word))
+    };
+    // Without a length its end can't be told from a wire that broke.
+    let framed = resp.body().size_hint().exact().is_some()
+        || says(hyper::header::TRANSFER_ENCODING, "chunked");
+    if !framed || says(hyper::header::CONNECTION, "close") {
+        return None;
+    }
+    let told = heads.get("keep-alive").and_then(|v| v.to_str().ok()).and_then(|v| {
+        let part = v.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+        part.trim().parse::<u64>().ok()
+    });
+    let idle = match told {
+        Some(secs) => duration(secs * SECOND).saturating_sub(duration(consts::LEAF_IDLE_KEEP)),
+        None => duration(consts::LEAF_IDLE_UNTOLD),
+    };
+    Some(Instant::now() + idle)
+}
+
 /// A wire that is still open, if there is one.
 async fn idle(pool: &Pool, key: &Key) -> Option<Wire> {
     loop {
-        let mut wire = pool.idle.borrow_mut().get_mut(key)?.pop()?;
-        if !wire.is_closed() && wire.ready().await.is_ok() {
+        let (mut wire, until) = pool.idle.borrow_mut().get_mut(key)?.pop()?;
+        if Instant::now() < until && !wire.is_closed() && wire.ready().await.is_ok() {
             return Some(wire);
         }
     }
 }
 
-fn keep(pool: &Pool, key: Key, wire: Wire) {
+fn keep(pool: &Pool, key: Key, wire: Wire, until: Instant) {
     let mut idle = pool.idle.borrow_mut();
     if !idle.contains_key(&key) {
         // A new leaf: forget those whose wires have all ended.
         idle.retain(|_, list| {
-            list.retain(|w| !w.is_closed());
+            list.retain(|(w, _)| !w.is_closed());
             !list.is_empty()
         });
     }
     let list = idle.entry(key).or_default();
     if list.len() < pool.most && !wire.is_closed() {
-        list.push(wire);
+        list.push((wire, until));
     }
 }
 
@@ -120,6 +195,12 @@
     resp: Response<hyper::body::Incoming>,
     limit: usize,
 ) -> Result<Response<Bytes>, HttpTrouble> {
+    let close = resp.headers().get(hyper::header::TRANSFER_ENCODING).is_none()
+        && resp.body().size_hint().exact().is_none();
+    if close {
+        // It ends with its wire: a part of it would look like all of it.
+        return Err(HttpTrouble::Cut("an answer without a length".into()));
+    }
     let (head, body) = resp.into_parts();
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,7 +2,9 @@
 //! disks, doors for HTTP, the log ring. The deciding is done in `grebe`.
 
 pub mod clock;
+pub mod dialect;
 pub mod disk;
+pub mod handed;
 pub mod http;
 pub mod leafs;
 pub mod params;
--- a/crates/runtime/src/params.rs
+++ b/crates/runtime/src/params.rs
@@ -167,6 +167,59 @@
     }
 }
 
+/// Addresses, any number of them; `port` stands in for each one's own.
+pub fn some_addrs(r: &mut Reader, name: &'static str, port: Option<u16>) -> Vec<SocketAddr> {
+    let val = text(r, name, None);
+    let list = val.split(',').filter(|v| !v.is_empty());
+    let mut out: Vec<SocketAddr> = Vec::new();
+    for one in list.map(str::to_string).collect::<Vec<_>>() {
+        let mut addr = one_addr(r, name, &one);
+        addr.set_port(port.unwrap_or(addr.port()));
+        if !out.contains(&addr) {
+            out.push(addr);
+        }
+    }
+    out
+}
+
+/// A share from 0 to 1, in thousandths.
+pub fn thousandths(r: &mut Reader, name: &'static str, fall: u64) -> u64 {
+    match raw(r, name) {
+        None => fall,
+        Some((place, val)) => match val.parse::<f64>() {
+            Ok(n) if (0.0..=1.0).contains(&n) => (n * 1000.0) as u64,
+            _ => {
+                find(&mut r.all, place, "expected a share from 0 to 1");
+                fall
+            }
+        },
+    }
+}
+
+/// Seconds, fractions included, as a span.
+pub fn seconds(r: &mut Reader, name: &'static str) -> Option<grebe::time::Span> {
+    let (place, val) = raw(r, name)?;
+    match val.parse::<f64>() {
+        Ok(n) if (0.0..=86_400.0).contains(&n) => Some((n * 1e6) as grebe::time::Span),
+        _ => {
+            find(&mut r.all, place, "expected seconds, up to a day");
+            None
+        }
+    }
+}
+
+/// One of several words.
+pub fn word(r: &mut Reader, name: &'static str, known: &[&str], fall: &str) -> String {
+    match raw(r, name) {
+        None => fall.to_string(),
+        Some((_, val)) if known.contains(&val.as_str()) => val,
+        Some((place, val)) => {
+            find(&mut r.all, place, format!("`{val}` is not one of {}", known.join(", ")));
+            fall.to_string()
+        }
+    }
+}
+
 /// Ends the reading: unknown names in the file are findings too.
 pub fn done(r: &mut Reader) -> Vec<Finding> {
     let asked = std::mem::take(&mut r.asked);
--- a/crates/sim/src/backs.rs
+++ b/crates/sim/src/backs.rs
@@ -228,8 +228,7 @@
         busy: Some(format!("{busy:.2}")),
         age: Some((since(l.born, now) / MILLI).to_string()),
         state: l.leaving.then(|| "leaving".to_string()),
-        cut: None,
-        unrun: false,
+        ..Heads::default()
     }
 }
 
--- a/crates/sim/src/world/callers.rs
+++ b/crates/sim/src/world/callers.rs
@@ -99,6 +99,7 @@
     let full = matches!(&outcome, Outcome::Full(f) if f.missing == 0);
     rules::ends(&mut w.rules, c.began - BEGIN, now, &kind.search, full);
     match outcome {
+        Outcome::Passed(_) | Outcome::Joined(_) => {}
         Outcome::Bounce(b) => {
             *tally(w, c.kind).bounced.entry(b.reason.to_string()).or_default() += 1;
         }
