Read params again at a SIGHUP, and never end by one

Change: the params file is read again at SIGHUP and when it has changed; wrong params change nothing and are told with their places.

--- a/crates/grebe/src/config/read.rs
+++ b/crates/grebe/src/config/read.rs
@@ -229,7 +229,9 @@
     o.seen.push("quorum");
     let quorum = match o.map.get("quorum").map(Value::as_f64) {
         None => 1000,
-        Some(Some(q)) if (q > 0.0 || form != Form::Own && q == 0.0) && q <= 1.0 => ((q * 1000.0).ceil() as u32).clamp(1, 1000),
+        Some(Some(q)) if (q > 0.0 || form != Form::Own && q == 0.0) && q <= 1.0 => {
+            ((q * 1000.0).ceil() as u32).clamp(1, 1000)
+        }
         Some(_) => {
             want(o, "quorum", "expected a share above 0 and up to 1");
             1000
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -319,6 +319,9 @@
 
 // ---- processes ------------------------------------------------------------
 
+/// How often the params file is looked at: it changes seldom, and a signal
+/// tells of most changes.
+pub const PARAMS_LOOK: Span = 5 * SECOND;
 /// Lines the log ring holds (count).
 pub const RING_LINES: usize = 4_096;
 /// Time a stopping querier leaves between "not ready" and closing its door:
--- a/crates/grebe/src/edge/list.rs
+++ b/crates/grebe/src/edge/list.rs
@@ -56,5 +56,14 @@
         }
     }
     let leaving = labels.get("state").is_some_and(|s| s == "leaving");
-    Ok(LeafInfo { leaf, service: text("service")?, addr, labels, leaving, age_ms: 0, slots: 0, cold: false })
+    Ok(LeafInfo {
+        leaf,
+        service: text("service")?,
+        addr,
+        labels,
+        leaving,
+        age_ms: 0,
+        slots: 0,
+        cold: false,
+    })
 }
--- a/crates/grebe/src/query/desk.rs
+++ b/crates/grebe/src/query/desk.rs
@@ -9,7 +9,7 @@
 use super::ask::{Ask, Outcome, Reason, Record};
 use super::leaf::Leaf;
 use super::parcel::Parcel;
-use super::quota::Quota;
+use super::quota::{Quota, Rate};
 use super::rule::Rule;
 use super::share::Share;
 use super::waits::Waits;
@@ -154,6 +154,8 @@
     },
     View(Arc<View>),
     Share(Share),
+    /// The fleet's rule of second tries for calls that are handed over.
+    Rate(Rate),
     Door(Door),
     Grip(Tick),
     /// Time has passed.
--- a/crates/grebe/src/query/quota.rs
+++ b/crates/grebe/src/query/quota.rs
@@ -40,6 +40,12 @@
     Quota { rate, most: 1_000, saved: IndexMap::new() }
 }
 
+/// Another rule holds from now on.
+pub fn rated(q: &mut Quota, rate: Rate, threads: u64) {
+    q.rate = rate;
+    among(q, threads);
+}
+
 /// The fleet has so many threads that share the slack.
 pub fn among(q: &mut Quota, threads: u64) {
     let part = q.rate.slack * 1_000 * consts::SECOND_KEEP_PCT / 100 / threads.max(1);
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -58,6 +58,7 @@
             rule::slack(&mut d.rule, share::part(&d.share, rank, consts::RETRY_SLACK));
             sweep(d, now, &mut out);
         }
+        Event::Rate(rate) => quota::rated(&mut d.quota, rate, d.share.slots.len() as u64),
         Event::Door(door) => d.door = door,
         Event::Grip(until) => {
             d.grip = until;
--- a/crates/programs/src/controller/owner.rs
+++ b/crates/programs/src/controller/owner.rs
@@ -74,6 +74,8 @@
         let todo = step(&mut core, now(&clock), Event::DiskTrouble { part, why });
         carry_out(&mut io, todo);
     }
+    // Nothing of a controller's params can change while it runs.
+    let mut files = runtime::reload::watch(None);
     let mut wake = tokio::time::interval(duration(WAKE));
     wake.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let stop = runtime::stop::asked();
@@ -82,6 +84,7 @@
         let event = tokio::select! {
             biased;
             _ = &mut stop => break,
+            _ = runtime::reload::changed(&mut files) => None,
             _ = wake.tick() => Some(Event::Wake),
             Some(input) = rx.recv() => taken(&mut io, &core, &p, &clock, input),
             Some(event) = wire_rx.recv() => heard(&mut io, event),
--- a/crates/programs/src/controller/params.rs
+++ b/crates/programs/src/controller/params.rs
@@ -68,10 +68,19 @@
         .argument("N")
         .optional();
     bpaf::construct!(Flags {
-        file, seat, zone, listen, inner, seeds, data, fleet, dialect, seed_port
+        file,
+        seat,
+        zone,
+        listen,
+        inner,
+        seeds,
+        data,
+        fleet,
+        dialect,
+        seed_port
     })
-        .to_options()
-        .descr("grebepath's control plane")
+    .to_options()
+    .descr("grebepath's control plane")
 }
 
 /// Reads and checks; ends the process with 2 if anything is wrong.
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -122,6 +122,7 @@
         polling: false,
         shut: false,
     };
+    let mut files = runtime::reload::watch(p.file.as_deref());
     let mut wake = tokio::time::interval(duration(WAKE));
     wake.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let stop = runtime::stop::asked();
@@ -141,6 +142,10 @@
                 }
                 Some(Event::Stop)
             }
+            _ = runtime::reload::changed(&mut files) => {
+                reread(&io);
+                None
+            }
             _ = wake.tick() => Some(Event::Wake),
             Some(input) = rx.recv() => match input {
                 Input::Word { service, word } => Some(Event::Word { service, word }),
@@ -180,6 +185,23 @@
     Ok(())
 }
 
+/// Takes up what of the params may change under a running process. Wrong ones
+/// change nothing.
+fn reread(io: &Io) {
+    match crate::params::again() {
+        Ok(p) => {
+            for desk in &io.desks {
+                let _ = desk.send(Work::Event(desk::Event::Rate(p.rate)));
+            }
+        }
+        Err(all) => {
+            for f in all {
+                warn!(me = io.me, "changed params are not taken up: {f}");
+            }
+        }
+    }
+}
+
 fn heard(io: &mut Io, event: WireEvent<Tag>) -> Option<Event> {
     match event {
         WireEvent::Dialled { tag: Tag::Seat(seat), msg } => Some(Event::FromSeat { seat, msg }),
--- a/crates/programs/src/querier/door.rs
+++ b/crates/programs/src/querier/door.rs
@@ -127,8 +127,11 @@
         return written(&Outcome::Bounce(b));
     }
     let (tell, told) = oneshot::channel();
-    let outcome =
-        if door.here.send(Work::Call { call, called: Called::Own(ask), tell }).is_ok() { told.await.ok() } else { None };
+    let outcome = if door.here.send(Work::Call { call, called: Called::Own(ask), tell }).is_ok() {
+        told.await.ok()
+    } else {
+        None
+    };
     guard.done = true;
     let outcome = outcome.unwrap_or_else(|| {
         Outcome::Bounce(Bounce::new(Reason::Stopping, "this node is going down"))
--- a/crates/programs/src/querier/main.rs
+++ b/crates/programs/src/querier/main.rs
@@ -68,8 +68,10 @@
     }
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    let end =
-        local.block_on(&rt, control::serve(p, clock, (inner, checks), desks, (ready_tx, view_tx), tx, rx));
+    let end = local.block_on(
+        &rt,
+        control::serve(p, clock, (inner, checks), desks, (ready_tx, view_tx), tx, rx),
+    );
     let _ = stop_tx.send(true);
     let joined = threads.into_iter().all(|t| t.join().is_ok());
     end.and(if joined { Ok(()) } else { Err(std::io::Error::other("a thread failed")) })
--- a/crates/programs/src/querier/params.rs
+++ b/crates/programs/src/querier/params.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, long};
+use grebe::lang::finding::Finding;
 use grebe::query::quota::Rate;
 use grebe::time::Span;
 use runtime::dialect::Dialect;
@@ -36,6 +37,8 @@
     pub grace: Option<Span>,
     /// Whether leafs are asked about themselves.
     pub probes: bool,
+    /// The file that these came from.
+    pub file: Option<String>,
 }
 
 struct Flags {
@@ -110,8 +113,10 @@
         .help("seconds from the wish to stop until the process must be gone")
         .argument("S")
         .optional();
-    let probes =
-        long("probes").help("whether leafs are probed: on (default) or off").argument("W").optional();
+    let probes = long("probes")
+        .help("whether leafs are probed: on (default) or off")
+        .argument("W")
+        .optional();
     let more = bpaf::construct!(More { seed_port, second_share, second_slack, grace_s, probes });
     bpaf::construct!(Flags {
         file,
@@ -141,6 +146,22 @@
             std::process::exit(if e.exit_code() == 0 { 0 } else { p::EXIT_PARAMS });
         }
     };
+    let (out, all) = checked(f);
+    p::exit_if_any("querier", &all);
+    out
+}
+
+/// Reads and checks once more under a running process.
+pub fn again() -> Result<Params, Vec<Finding>> {
+    let Ok(f) = flags().run_inner(bpaf::Args::current_args()) else { return Err(Vec::new()) };
+    match checked(f) {
+        (out, all) if all.is_empty() => Ok(out),
+        (_, all) => Err(all),
+    }
+}
+
+fn checked(f: Flags) -> (Params, Vec<Finding>) {
+    let file = f.file.clone();
     let pairs = vec![
         ("name", f.name),
         ("zone", f.zone),
@@ -182,8 +203,8 @@
         },
         grace: p::seconds(&mut r, "grace_s"),
         probes: p::word(&mut r, "probes", &["on", "off"], "on") == "on",
+        file,
     };
     let all = p::done(&mut r);
-    p::exit_if_any("querier", &all);
-    out
+    (out, all)
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod leafs;
 pub mod params;
+pub mod reload;
 pub mod ring;
 pub mod stop;
 pub mod wire;
