Let seats that have just started sound soon, and members seek quickly

Cause: after a restart of all, every part waited the whole second of an owner's silence before anyone sounded, and members renewed twice a second. Ruled out: disks (75 ms) and starting (30 ms). Change: a seat that has heard of no owner since its start sounds after 150 ms; others that hear one still say no. A member without tenure asks each 100 ms.

--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -71,7 +71,8 @@
     if now < w.tenure.renew_at {
         return;
     }
-    w.tenure.renew_at = now + consts::TENURE_BEAT;
+    let beat = if w.tenure.granted { consts::TENURE_BEAT } else { consts::TENURE_SEEK };
+    w.tenure.renew_at = now + beat;
     w.tenure.count += 1;
     let count = w.tenure.count;
     w.tenure.sent.insert(count, now);
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -36,7 +36,8 @@
         }
         Event::Wake => {
             if now >= w.follow_at {
-                w.follow_at = now + consts::FOLLOW_BEAT;
+                let beat = if w.sure { consts::FOLLOW_BEAT } else { consts::TENURE_SEEK };
+                w.follow_at = now + beat;
                 for seat in 0..consts::SEATS as u8 {
                     out.push(Command::ToSeat { seat, msg: Msg::Follow { places: places(w) } });
                 }
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -28,6 +28,11 @@
 pub const CLAIM_STAGGER: Span = ms(300);
 /// Random part of the wait before a claim; breaks ties between seats.
 pub const CLAIM_JITTER: Span = ms(150);
+/// The same for a seat that has just started and heard of no owner yet: long
+/// enough for the other seats' wires to come up and their first beats.
+pub const OWNER_BOOT: Span = ms(150);
+/// Extra wait per rank then.
+pub const CLAIM_BOOT_STAGGER: Span = ms(100);
 /// An owner that no majority has acknowledged for this long steps down.
 /// Below the silence, so it is gone before a successor can be chosen.
 pub const OWNER_GRIP: Span = ms(900);
@@ -82,6 +87,9 @@
 
 /// How often a member renews its tenure.
 pub const TENURE_BEAT: Span = ms(500);
+/// The same for a member that has none yet, and for one that lacks news it
+/// needs to serve at all.
+pub const TENURE_SEEK: Span = ms(100);
 /// How long a tenure lasts at the core without renewal.
 pub const TENURE: Span = 3 * SECOND;
 /// After this long without renewal, counted from when the renewal was sent, a
--- a/crates/grebe/src/query/quota.rs
+++ b/crates/grebe/src/query/quota.rs
@@ -48,7 +48,9 @@
 
 /// The fleet has so many threads that share the slack.
 pub fn among(q: &mut Quota, threads: u64) {
-    let part = q.rate.slack * 1_000 * consts::SECOND_KEEP_PCT / 100 / threads.max(1);
+    // Without a place in the cohort nobody knows what others spend.
+    let threads = if threads == 0 { u64::MAX } else { threads };
+    let part = q.rate.slack * 1_000 * consts::SECOND_KEEP_PCT / 100 / threads;
     // Less than a whole try could never be spent.
     q.most = part.max(1_000);
     for saved in q.saved.values_mut() {
--- a/crates/grebe/src/state/claim.rs
+++ b/crates/grebe/src/state/claim.rs
@@ -26,9 +26,18 @@
 }
 
 /// How long this seat lets a part be without an owner before it sounds.
-fn patience(id: PartId, seat: Seat, luck: &mut Luck) -> Span {
+///
+/// A seat that has just started has nobody to wait for: a part with an owner is
+/// not taken from it, since the others who hear that owner say no to a
+/// sounding. So it sounds soon, and all that restart together are served soon.
+fn patience(p: &Part, seat: Seat, luck: &mut Luck) -> Span {
+    if p.fresh {
+        return consts::OWNER_BOOT
+            + rank(p.id, seat) * consts::CLAIM_BOOT_STAGGER
+            + below(luck, consts::CLAIM_BOOT_STAGGER / 2);
+    }
     consts::OWNER_SILENCE
-        + rank(id, seat) * consts::CLAIM_STAGGER
+        + rank(p.id, seat) * consts::CLAIM_STAGGER
         + below(luck, consts::CLAIM_JITTER)
 }
 
@@ -38,7 +47,7 @@
         return;
     }
     match &p.role {
-        Role::Follower { heard, .. } if since(*heard, now) >= patience(p.id, seat, luck) => {
+        Role::Follower { heard, .. } if since(*heard, now) >= patience(p, seat, luck) => {
             let epoch = next_epoch(p.copy.promised, seat);
             start_sounding(p, now, seat, epoch, out);
         }
--- a/crates/grebe/src/state/part.rs
+++ b/crates/grebe/src/state/part.rs
@@ -37,6 +37,8 @@
     pub changes: VecDeque<(u64, Vec<Entry>)>,
     /// The owner's sum differs from ours: take its next whole copy.
     pub doubt: bool,
+    /// Nobody has owned or claimed this part since we started.
+    pub fresh: bool,
     pub relearn: Relearn,
 }
 
@@ -190,6 +192,7 @@
         seed,
         changes: VecDeque::new(),
         doubt: false,
+        fresh: true,
         relearn: Relearn::default(),
     }
 }
--- a/crates/grebe/src/state/replica.rs
+++ b/crates/grebe/src/state/replica.rs
@@ -79,6 +79,7 @@
         return;
     }
     follow(p, now, None);
+    p.fresh = false;
     apply(&mut p.copy, &Rec::Promise { epoch });
     let msg = Msg::Grant { part: p.id, epoch, at_epoch: p.copy.epoch, rev: p.copy.rev };
     keep(p, now, Rec::Promise { epoch }, vec![After::Send(from, msg)], out);
@@ -111,6 +112,7 @@
         out.push(Command::ToSeat { seat: from, msg });
         return false;
     }
+    p.fresh = false;
     match &mut p.role {
         Role::Follower { heard, owner } => {
             *heard = now;
