Poll the list by one member and a next; tell unrun only what leafs did not see

Cause: up to four members each polled the whole list every second; a call whose other shards were at work was told 503, came back and was refused again. Change: one duty for the whole list, 0.6 s, and who would hold it next at 1.8 s; sooner after word of a leaf that is gone. A bounce of a call that is out at leafs promises nothing (502).

--- a/crates/grebe/src/cohort/duty.rs
+++ b/crates/grebe/src/cohort/duty.rs
@@ -10,7 +10,7 @@
 use crate::digest::{hash, pair};
 use crate::names::{CONFIG, PartId, part_of, parts};
 use crate::state::leafs;
-use crate::time::{Tick, since};
+use crate::time::{Span, Tick, since};
 use crate::view::leafs::{LeafInfo, key};
 use crate::wire::msg::{Cohort, Msg, Word};
 
@@ -26,24 +26,53 @@
         .map(|m| m.name.as_str())
 }
 
-/// The duty of polling the list for a part.
-pub fn list_key(part: PartId) -> String {
-    format!("list/{part}")
+/// The duty of polling the platform's list, for all parts at once: a poll
+/// brings the whole list, and each costs the platform.
+pub const LIST: &str = "list";
+
+/// Our place for a duty among the settled members: its holder has 0, who would
+/// hold it next 1.
+pub fn place(cohort: &Cohort, key: &str, me: &str) -> Option<usize> {
+    let thing = hash(key);
+    let rank = |name: &str| (pair(thing, hash(name)), name.to_string());
+    let settled = || cohort.members.iter().filter(|m| m.joined <= cohort.settled);
+    settled().find(|m| m.name == me)?;
+    let mine = rank(me);
+    Some(settled().filter(|m| rank(&m.name) > mine).count())
+}
+
+/// How often we poll the list: its holder often, and the next one seldom, so
+/// that a holder that dies does not leave everyone blind for a whole tenure.
+/// Nobody knows what the others hear; it is asked sooner after word of a leaf
+/// that is gone, since most come back under a new name.
+fn pace(w: &Watch, now: Tick) -> Option<Span> {
+    let hurried = since(w.gone_at, now) < consts::LIST_HURRIED && w.gone_at > 0;
+    match place(&w.cohort, LIST, &w.me.name)? {
+        0 if hurried => Some(consts::LIST_HURRY),
+        0 => Some(consts::LIST_POLL),
+        1 => Some(consts::LIST_POLL_NEXT),
+        _ => None,
+    }
 }
 
 /// The parts for which we poll the list.
 pub fn ours(w: &Watch) -> Vec<PartId> {
-    parts()
-        .filter(|p| *p != CONFIG)
-        .filter(|p| holder(&w.cohort, &list_key(*p)) == Some(w.me.name.as_str()))
-        .collect()
+    match place(&w.cohort, LIST, &w.me.name) {
+        Some(0 | 1) => parts().filter(|p| *p != CONFIG).collect(),
+        _ => Vec::new(),
+    }
 }
 
 /// Time passes: poll if it is due and a duty is ours under a good tenure.
 pub fn wake(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
     let trusted = w.tenure.granted && since(w.tenure.held_from, now) < consts::TENURE_TRUST;
-    if now >= w.list_at && trusted && w.stopping.is_none() && !ours(w).is_empty() {
-        w.list_at = now + consts::LIST_POLL;
+    if !trusted || w.stopping.is_some() {
+        return;
+    }
+    if let Some(pace) = pace(w, now)
+        && now >= w.list_at + pace
+    {
+        w.list_at = now;
         w.counts.list_polls += 1;
         out.push(Command::PollList);
     }
@@ -97,6 +126,7 @@
 
 /// Takes in what a leaf said of itself, to us or to a member of the cohort.
 pub fn hear(w: &mut Watch, service: String, word: Word) {
+    w.gone_at = if word.gone { w.now } else { w.gone_at };
     if held(w, &service, &word.leaf).is_none_or(|info| shown(&info, &word)) {
         return;
     }
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -14,6 +14,7 @@
 /// Takes one event and says what to do.
 pub fn step(w: &mut Watch, now: Tick, event: Event) -> Vec<Command> {
     let mut out = Vec::new();
+    w.now = now;
     match event {
         Event::FromSeat { seat, msg } => match msg {
             Msg::Reach { places } => w.reach[usize::from(seat)] = places,
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -56,7 +56,12 @@
     pub drained: bool,
     pub follow_at: Tick,
     pub gossip_at: Tick,
+    /// When we last polled the list.
     pub list_at: Tick,
+    /// When we last heard of a leaf that is gone; zero before that.
+    pub gone_at: Tick,
+    /// The time of the event at hand.
+    pub now: Tick,
     pub probe_at: Tick,
     /// When words that tell an age alone are next sent, all together.
     pub ages_at: Tick,
@@ -203,7 +208,9 @@
         drained: false,
         follow_at: now,
         gossip_at: now,
-        list_at: now,
+        list_at: 0,
+        gone_at: 0,
+        now,
         probe_at: now,
         ages_at: now,
         words: BTreeMap::new(),
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -123,8 +123,15 @@
 
 // ---- duties ---------------------------------------------------------------
 
-/// How often the holder of a duty polls the platform's list.
-pub const LIST_POLL: Span = ms(1_000);
+/// How often the holder of that duty polls the platform's list ...
+pub const LIST_POLL: Span = ms(600);
+/// ... and who would hold it next: within the 3 s in which a leaving leaf must
+/// be known, with a second to spare for the way.
+pub const LIST_POLL_NEXT: Span = ms(1_800);
+/// How often the holder polls while leafs are going, and for how long after
+/// word of one that is gone.
+pub const LIST_HURRY: Span = ms(250);
+pub const LIST_HURRIED: Span = 3 * SECOND;
 /// A list poll that takes longer is given up.
 pub const LIST_PATIENCE: Span = ms(2_000);
 /// Largest platform list that is read (bytes).
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -606,6 +606,8 @@
 }
 
 fn finish(d: &mut Desk, now: Tick, mut q: Query, how: Result<(), Reason>, out: &mut Vec<Command>) {
+    // Leafs of other shards may be at work on it: then it has not gone unrun.
+    let out_there = q.slots.iter().any(|s| !s.outs.is_empty());
     for i in 0..q.slots.len() {
         for num in std::mem::take(&mut q.slots[i].outs) {
             // A leaf that let the whole budget pass is slow; say so to itself.
@@ -639,7 +641,7 @@
         }
         let rest = rest(d, now, &q);
         let mut b = Bounce::new(why, text);
-        b.ran = q.ran;
+        b.ran = q.ran || out_there;
         return bounce(d, now, (q.call, rest), b, Some(q.name), out);
     }
     again::note(&mut d.strain, now, false);
