Deal out wires to leafs under the leafs' limit over all nodes

Change: every node computes the same deal of each service's wires from members and leafs: own zone first, by rendezvous, bounded for each leaf, a tenth left free. Leafs that are not ours are for need. The core tells who is there after 300 ms, with nothing settled before a tenure has passed.

--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -223,6 +223,12 @@
         w.shared = shares.clone();
         out.push(Command::Shares(shares));
     }
+    let all = w.cohort.members.iter();
+    let peers: Vec<_> = all.map(|m| (m.name.clone(), m.threads, m.zone.clone())).collect();
+    if peers != w.peered && !peers.is_empty() {
+        w.peered = peers.clone();
+        out.push(Command::Peers(peers));
+    }
     // The threads look at this themselves before they act: a process that was
     // paused wakes with an old grip and does nothing until it has a new one.
     let held = if w.tenure.granted { w.tenure.held_from + consts::TENURE_TRUST } else { 0 };
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -36,6 +36,7 @@
     pub publish_at: Tick,
     pub cohort: Cohort,
     pub shared: Vec<(String, u32)>,
+    pub peered: Vec<(String, u32, String)>,
     pub tenure: Tenure,
     pub peers: IndexMap<String, Peer>,
     /// Whether a view of ours ever held leafs for a quorum of each search, or
@@ -171,6 +172,10 @@
     /// The members whose threads share the fleet's limits, with theirs;
     /// empty while we have no share.
     Shares(Vec<(String, u32)>),
+    /// All members that open wires to leafs: with their threads and zones.
+    /// Unlike shares these are told before they are settled; a deal that is
+    /// not everyone's for a moment costs a reset wire at most.
+    Peers(Vec<(String, u32, String)>),
     Door(Door),
     /// Until when the threads may act on their view, if nothing else is said.
     Grip(Tick),
@@ -195,6 +200,7 @@
         publish_at: now,
         cohort: Cohort::default(),
         shared: Vec::new(),
+        peered: Vec::new(),
         tenure: Tenure::default(),
         peers: IndexMap::new(),
         served: false,
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -102,6 +102,9 @@
 /// A new owner of the configuration counts the old members as live for one
 /// tenure, since it has not heard them itself yet.
 pub const TENURE_GRACE: Span = TENURE;
+/// How long an owner that knows of no cohort gathers members before it says
+/// who they are; they seek ten times a second.
+pub const TENURE_GATHER: Span = ms(300);
 /// How often cohort members speak with each other.
 pub const COHORT_BEAT: Span = ms(500);
 /// Neighbours each member speaks with (count): each member is heard by this
--- a/crates/grebe/src/query/choose.rs
+++ b/crates/grebe/src/query/choose.rs
@@ -44,6 +44,8 @@
 pub fn choose(s: &Scene, luck: &mut Luck, map: &Mapping, shard: usize, tried: &[String]) -> Choice {
     let mut fit: Vec<(&Arc<LeafInfo>, u64, bool, bool)> = Vec::new();
     let mut stand = false;
+    // Whether a leaf that is steered by what is seen, is ours and stands well.
+    let mut healthy = false;
     for pool in &map.shards[shard].pools {
         for info in open(s.view, pool, &map.cut) {
             if tried.contains(&info.leaf) {
@@ -57,13 +59,14 @@
             let rested = leaf.rest_until > s.now;
             let near = map.local && zone(info) == s.zone;
             if pool.steer == Steer::Seen {
-                let threads = s.share.slots.len() as u64;
+                let ours = leaf.wires != Some(0);
+                healthy |= ours && !rested;
                 // One that failed lately is tried with one dispatch at a time.
                 let wary = leaf.row >= REST_AFTER && leaf.live > 0;
-                if wary || leaf.live >= seen::room(leaf, info, pool, threads, s.now) {
+                if wary || leaf.live >= seen::room(leaf, info, s.now) {
                     continue;
                 }
-                fit.push((info, seen::likely(leaf, info, near || !map.local), rested, true));
+                fit.push((info, seen::likely(leaf, info, near || !map.local), rested, ours));
                 continue;
             }
             let own = room(s, leaf, pool);
@@ -81,6 +84,11 @@
         if rested && !first {
             break;
         }
+        // A leaf that others have the wires of is for need: none of ours stands
+        // well, or a second try finds none of ours.
+        if !near && healthy && first {
+            return Choice::Full;
+        }
         let set: Vec<_> = fit.iter().filter(|f| f.2 == rested && f.3 == near).collect();
         if set.is_empty() {
             continue;
--- a/crates/grebe/src/query/desk.rs
+++ b/crates/grebe/src/query/desk.rs
@@ -13,6 +13,7 @@
 use super::rule::Rule;
 use super::share::Share;
 use super::waits::Waits;
+use super::wires::Peer;
 use crate::config::build::Mapping;
 use crate::config::types::Class;
 use crate::consts;
@@ -48,12 +49,16 @@
     /// send dispatches.
     pub grip: Tick,
     pub share: Share,
+    /// Our own stable number among the threads of all nodes.
+    pub slot: u64,
     pub queries: IndexMap<u64, Query>,
     pub dispatches: IndexMap<u64, Dispatch>,
     pub leafs: IndexMap<String, Leaf>,
     pub rule: Rule,
     /// Second tries of calls that are handed over, by service.
     pub quota: Quota,
+    /// All nodes that open wires to leafs, in order.
+    pub peers: Vec<Peer>,
     pub waits: Waits,
     pub strain: Strain,
     pub luck: Luck,
@@ -154,6 +159,8 @@
     },
     View(Arc<View>),
     Share(Share),
+    /// All nodes that open wires to leafs.
+    Peers(Vec<Peer>),
     /// The fleet's rule of second tries for calls that are handed over.
     Rate(Rate),
     Door(Door),
@@ -194,6 +201,8 @@
     pub parcel: Option<Arc<Parcel>>,
     /// It may run once at most: it must not go out on a doubtful wire.
     pub once: bool,
+    /// Its wire may be kept for later.
+    pub keep: bool,
 }
 
 /// What is counted, for metrics and measurements.
@@ -228,11 +237,13 @@
         view: Arc::new(View::default()),
         grip: 0,
         share: Share::default(),
+        slot: 0,
         queries: IndexMap::new(),
         dispatches: IndexMap::new(),
         leafs: IndexMap::new(),
         rule: super::rule::rule(now),
         quota: super::quota::quota(super::quota::own()),
+        peers: Vec::new(),
         waits: Waits::default(),
         strain: Strain::default(),
         luck: crate::luck::luck(seed),
--- a/crates/grebe/src/query/leaf.rs
+++ b/crates/grebe/src/query/leaf.rs
@@ -30,6 +30,8 @@
     pub slots: u64,
     /// What others have there (thousandths of a dispatch), smoothed.
     pub others: u64,
+    /// Wires that we may have to it; nothing where they are not limited.
+    pub wires: Option<u64>,
     /// When `strength` last changed.
     pub strength_at: Tick,
     /// Time of a dispatch when the leaf is at ease.
@@ -58,6 +60,7 @@
         strength: 1_000,
         slots: 0,
         others: 0,
+        wires: None,
         strength_at: 0,
         usual: 0,
         rank: None,
--- a/crates/grebe/src/query/mod.rs
+++ b/crates/grebe/src/query/mod.rs
@@ -16,3 +16,4 @@
 pub mod share;
 pub mod step;
 pub mod waits;
+pub mod wires;
--- a/crates/grebe/src/query/seen.rs
+++ b/crates/grebe/src/query/seen.rs
@@ -5,7 +5,6 @@
 //! load with each answer, and work that it turned away.
 
 use super::leaf::{Leaf, used};
-use crate::config::build::PoolPlan;
 use crate::consts;
 use crate::time::{Span, Tick};
 use crate::view::leafs::LeafInfo;
@@ -39,13 +38,11 @@
 
 /// Dispatches that we may have in hand at a leaf: a little more than it works
 /// on at once, less where it turns work away or its wires are few.
-pub fn room(leaf: &Leaf, info: &LeafInfo, pool: &PoolPlan, threads: u64, now: Tick) -> u64 {
+pub fn room(leaf: &Leaf, info: &LeafInfo, now: Tick) -> u64 {
     let full = slots(leaf, info) * consts::SEEN_SLOTS_PCT / 100;
     let most = used(leaf, full, 0, now).max(1);
-    match u64::from(pool.wires) {
-        0 => most,
-        wires => most.min((wires / threads.max(1)).max(1)),
-    }
+    // A leaf that we have no wire to is asked in need, with one.
+    leaf.wires.map_or(most, |wires| most.min(wires.max(1)))
 }
 
 /// When the leaf would likely answer one dispatch more.
--- a/crates/grebe/src/query/share.rs
+++ b/crates/grebe/src/query/share.rs
@@ -1,5 +1,6 @@
 //! A thread's share of what the whole fleet may do at once.
 
+use super::wires::Peer;
 use crate::digest::{hash, pair};
 
 /// The traffic threads of the live cohort and which of them is ours.
@@ -26,6 +27,17 @@
     Share { slots, mine: slot(me, thread) }
 }
 
+/// The nodes that open wires, of the members given as (name, threads, zone).
+pub fn peers(members: &[(String, u32, String)]) -> Vec<Peer> {
+    let mut out: Vec<Peer> = members
+        .iter()
+        .flat_map(|(name, n, zone)| (0..*n).map(move |t| (slot(name, t), zone)))
+        .map(|(slot, zone)| Peer { slot, zone: zone.clone() })
+        .collect();
+    out.sort_unstable_by_key(|p| p.slot);
+    out
+}
+
 /// Our rank for a thing among all threads: each thing has its own order, so
 /// that remainders fall on different threads.
 pub fn rank(share: &Share, thing: u64) -> Option<u64> {
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -7,7 +7,7 @@
 use super::leaf::{self, leaf};
 use super::merge::merge;
 use super::parcel::Passed;
-use super::{again, hand, quota, rule, seen, share, waits};
+use super::{again, hand, quota, rule, seen, share, waits, wires};
 use crate::config::build::{Mapping, PoolPlan, needed};
 use crate::config::types::{Class, Form, Steer};
 use crate::consts;
@@ -15,8 +15,10 @@
 use crate::edge::leaf::{Expect, Raw, Trouble, check, self_word};
 use crate::lang::compile::Send;
 use crate::time::{Span, Tick, since};
+use crate::view::leafs::{LeafInfo, zone};
 use crate::view::whole::open;
 use crate::wire::msg::Word;
+use std::collections::BTreeSet;
 
 /// Takes one event and says what to do.
 pub fn step(d: &mut Desk, now: Tick, event: Event) -> Vec<Command> {
@@ -40,8 +42,12 @@
             d.leafs.retain(|name, l| l.live > 0 || view.leafs.contains_key(name));
             quota::keep(&mut d.quota, |s| view.services.contains_key(s));
             waits::keep(&mut d.waits, |s| view.mappings.contains_key(s));
+            let same = d.view.services == view.services && d.view.revision == view.revision;
             d.view = view;
-            deal(d);
+            if !same {
+                deal(d);
+                wired(d);
+            }
             if d.door == Door::Shut {
                 d.door = Door::Open;
             }
@@ -58,6 +64,10 @@
             rule::slack(&mut d.rule, share::part(&d.share, rank, consts::RETRY_SLACK));
             sweep(d, now, &mut out);
         }
+        Event::Peers(peers) => {
+            d.peers = peers;
+            wired(d);
+        }
         Event::Rate(rate) => quota::rated(&mut d.quota, rate, d.share.slots.len() as u64),
         Event::Door(door) => d.door = door,
         Event::Grip(until) => {
@@ -91,6 +101,33 @@
     }
 }
 
+/// Deals out the wires to leafs that take few.
+fn wired(d: &mut Desk) {
+    let view = d.view.clone();
+    let pools = view.mappings.values().flat_map(|m| &m.shards).flat_map(|s| &s.pools);
+    let mut done: BTreeSet<&str> = BTreeSet::new();
+    for pool in pools.filter(|p| p.wires > 0) {
+        let Some(list) = view.services.get(&pool.service) else { continue };
+        if !done.insert(&pool.service) {
+            continue;
+        }
+        // Leafs of emptied zones and those that leave have no new work.
+        let stand: Vec<&LeafInfo> = list
+            .iter()
+            .filter(|l| !l.leaving && !view.built.drained.contains(zone(l)))
+            .map(|l| l.as_ref())
+            .collect();
+        let mine = d.slot;
+        let wires = wires::deal(&d.peers, mine, &stand, u64::from(pool.wires));
+        for (info, n) in stand.iter().zip(wires) {
+            if let Some(l) = d.leafs.get_mut(&info.leaf) {
+                // Before we know of anyone else, one wire at a time.
+                l.wires = Some(if d.peers.is_empty() { 1 } else { n });
+            }
+        }
+    }
+}
+
 /// When `step` wants to be woken next.
 pub fn next(d: &Desk) -> Option<Tick> {
     d.queries.values().map(due).min()
@@ -460,6 +497,7 @@
         budget: since(now, q.end),
         parcel: q.parcel.clone(),
         once: q.map.once,
+        keep: d.leafs.get(&info.leaf).is_none_or(|l| l.wires != Some(0)),
     }));
 }
 
--- a/crates/grebe/src/state/members.rs
+++ b/crates/grebe/src/state/members.rs
@@ -21,6 +21,9 @@
     pub heard: IndexMap<String, Heard>,
     /// Epoch for which `heard` was begun, and when.
     pub reign: Option<(u64, Tick)>,
+    /// No cohort was handed down to us, and a tenure has not passed since we
+    /// began: there may be members that we have not heard yet.
+    pub blind: bool,
     /// The wire on which each member speaks to this seat.
     pub wires: IndexMap<String, WireId>,
 }
@@ -101,8 +104,12 @@
     m.heard.retain(|_, h| since(h.at, now) < consts::TENURE);
     // With nothing handed down we may know too few: telling now would give
     // the ones we know shares that others still hold.
-    let young = m.reign.is_some_and(|(_, at)| since(at, now) < consts::TENURE_GRACE);
-    if m.cohort.epoch == 0 && young {
+    // Who is there is told soon, but nothing of it is settled before a tenure
+    // has passed, and only what is settled gives shares.
+    let reigns = m.reign.map_or(0, |(_, at)| since(at, now));
+    m.blind |= m.cohort.epoch == 0;
+    m.blind &= reigns < consts::TENURE_GRACE;
+    if m.blind && reigns < consts::TENURE_GATHER {
         return;
     }
     let next = m.cohort.turn + 1;
@@ -126,7 +133,7 @@
     let turn = m.cohort.turn;
     let saw = |k: &Member| m.heard.get(&k.name).is_some_and(|h| h.far.saw >= (epoch, turn));
     let seen = m.cohort.members.iter().all(saw);
-    if seen && m.cohort.settled < turn {
+    if seen && m.cohort.settled < turn && !m.blind {
         m.cohort.settled = turn;
         changed = true;
     }
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -243,6 +243,12 @@
                     let _ = desk.send(Work::Event(desk::Event::Share(share)));
                 }
             }
+            Command::Peers(list) => {
+                let peers = grebe::query::share::peers(&list);
+                for desk in &io.desks {
+                    let _ = desk.send(Work::Event(desk::Event::Peers(peers.clone())));
+                }
+            }
             Command::Door(door) => {
                 io.shut |= door == desk::Door::Stopping;
                 for desk in &io.desks {
--- a/crates/programs/src/querier/leafs.rs
+++ b/crates/programs/src/querier/leafs.rs
@@ -61,7 +61,7 @@
     let work = (dialect.work)(&s).ok_or(Trouble::Unreachable)?;
     let whom = (addr, s.leaf.as_str());
     let fits = |r: &Response<Bytes>| !(dialect.reply)(&s, r.clone()).heads.foreign;
-    let sent = runtime::leafs::hand(pool, whom, work, (REPLY_LIMIT, s.once), fits);
+    let sent = runtime::leafs::hand(pool, whom, work, (REPLY_LIMIT, s.once, s.keep), fits);
     match tokio::time::timeout(duration(s.budget), sent).await {
         Ok(Ok(resp)) => Ok((dialect.reply)(&s, resp)),
         Ok(Err(HttpTrouble::Unreachable(_))) => Err(Trouble::Unreachable),
--- a/crates/programs/src/querier/main.rs
+++ b/crates/programs/src/querier/main.rs
@@ -59,6 +59,7 @@
             stop: stop_rx.clone(),
             dialect: p.dialect,
             rate: p.rate,
+            slot: grebe::query::share::slot(&p.name, i as u32),
         };
         threads.push(
             std::thread::Builder::new()
--- a/crates/programs/src/querier/traffic.rs
+++ b/crates/programs/src/querier/traffic.rs
@@ -60,6 +60,8 @@
     pub stop: tokio::sync::watch::Receiver<bool>,
     pub dialect: Option<&'static Dialect>,
     pub rate: Rate,
+    /// This thread's stable number in the cohort.
+    pub slot: u64,
 }
 
 /// Beside the desk: who waits for an outcome, and the dispatches' tasks.
@@ -99,6 +101,7 @@
         };
         let mut desk = desk(&s.name, &s.zone, s.seed, now(&s.clock));
         desk.quota = quota(s.rate);
+        desk.slot = s.slot;
         let desk = Rc::new(RefCell::new(desk));
         let shut = outer.clone();
         let io = Io {
--- a/crates/runtime/src/leafs.rs
+++ b/crates/runtime/src/leafs.rs
@@ -92,7 +92,7 @@
     pool: &Pool,
     (addr, leaf): (SocketAddr, &str),
     mut work: Request<Full<Bytes>>,
-    (limit, once): (usize, bool),
+    (limit, once, stay): (usize, bool, bool),
     fits: impl Fn(&Response<Bytes>) -> bool,
 ) -> Result<Response<Bytes>, HttpTrouble> {
     let key = (addr, leaf.to_string());
@@ -115,6 +115,7 @@
                 let until = trusted(&resp);
                 let resp = whole(resp, limit).await?;
                 if let Some(until) = until
+                    && stay
                     && fits(&resp)
                 {
                     keep(pool, key, wire, until);
--- a/crates/sim/src/world/queriers.rs
+++ b/crates/sim/src/world/queriers.rs
@@ -16,7 +16,9 @@
     n.desks = (0..THREADS)
         .map(|t| {
             let name = format!("{}-{t}-{:x}", n.name, n.life);
-            desk(&name, &n.zone, seed ^ u64::from(t), BOOT)
+            let mut desk = desk(&name, &n.zone, seed ^ u64::from(t), BOOT);
+            desk.slot = grebe::query::share::slot(&n.name, t);
+            desk
         })
         .collect();
     n.wakes = vec![0; THREADS as usize];
@@ -135,6 +137,12 @@
                 push(w, 20, Hap::ToDesk { q, life, t: t as usize, event });
             }
         }
+        wat::Command::Peers(list) => {
+            let peers = grebe::query::share::peers(&list);
+            for t in 0..THREADS as usize {
+                push(w, 20, Hap::ToDesk { q, life, t, event: desk::Event::Peers(peers.clone()) });
+            }
+        }
         wat::Command::Door(door) => {
             for t in 0..THREADS as usize {
                 push(w, 20, Hap::ToDesk { q, life, t, event: desk::Event::Door(door) });
