--- a/crates/grebe/src/cohort/duty.rs
+++ b/crates/grebe/src/cohort/duty.rs
@@ -5,7 +5,7 @@
 use nanoserde::DeBin;
 
 use super::standing;
-use super::watch::{Command, Heard, Watch};
+use super::watch::{Command, Heard, Watch, seats};
 use crate::consts;
 use crate::digest::{hash, pair};
 use crate::names::{CONFIG, PartId, part_of, parts};
@@ -88,7 +88,7 @@
     match w.tenure.seat {
         Some(seat) => out.push(Command::ToSeat { seat, msg }),
         None => {
-            for seat in 0..consts::SEATS as u8 {
+            for seat in seats(w) {
                 out.push(Command::ToSeat { seat, msg: msg.clone() });
             }
         }
@@ -177,7 +177,7 @@
     }
     for (part, words) in due {
         // To every seat: the one that serves us may be cut off from the owner.
-        for seat in 0..consts::SEATS as u8 {
+        for seat in seats(w) {
             let msg = Msg::Words { part, words: words.clone() };
             out.push(Command::ToSeat { seat, msg });
         }
--- a/crates/grebe/src/cohort/news.rs
+++ b/crates/grebe/src/cohort/news.rs
@@ -5,9 +5,10 @@
 use super::watch::{Command, Watch};
 use crate::config::build::{Mapping, Shard};
 use crate::config::{build, change};
-use crate::consts::{self, MAJORITY};
+use crate::consts;
 use crate::disk::rec::put;
 use crate::names::{CONFIG, PartId, parts};
+use crate::seats::table::majority;
 use crate::state::leafs;
 use crate::time::{Tick, since};
 use crate::view::leafs::LeafInfo;
@@ -69,9 +70,9 @@
 }
 
 /// Whether our first view can't be older than one that we, in a former life,
-/// or others obey. An accepted configuration is synced by two seats of three:
-/// of two seats that speak, one has it; of three, two have it. With the core
-/// silent, a ready member's view serves.
+/// or others obey. An accepted configuration is synced by a majority of the
+/// seats: of those that speak, all have it but as many as a majority leaves out.
+/// With the core silent, a ready member's view serves.
 pub fn settle_start(w: &mut Watch, now: Tick) {
     if w.sure {
         return;
@@ -96,7 +97,8 @@
     let mut said: Vec<u64> =
         w.reach.iter().flatten().filter(|p| p.part == part).map(|p| p.rev).collect();
     said.sort_unstable();
-    if said.len() < MAJORITY { u64::MAX } else { said[1] }
+    let lacking = w.table.seats.len() - majority(w.table.seats.len()).min(w.table.seats.len());
+    said.get(lacking).copied().unwrap_or(u64::MAX)
 }
 
 /// Gives out a new view if what we hold has changed.
--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -8,7 +8,7 @@
 //! - else we are cut off, alone or with a few: we turn not ready and then
 //!   bounce, before the core gives our share away.
 
-use super::watch::{Command, Peer, Watch, places};
+use super::watch::{Command, Peer, Watch, places, seats};
 use crate::consts;
 use crate::digest::hash;
 use crate::names::{CONFIG, Seat};
@@ -90,7 +90,7 @@
     match w.tenure.seat {
         Some(seat) if !worry => out.push(Command::ToSeat { seat, msg: msg.clone() }),
         _ => {
-            for seat in 0..consts::SEATS as Seat {
+            for seat in seats(w) {
                 out.push(Command::ToSeat { seat, msg: msg.clone() });
             }
         }
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -1,6 +1,6 @@
 //! `step` of a querier's control thread.
 
-use super::watch::{Command, Event, Watch, places};
+use super::watch::{Command, Event, Watch, learn, places, seats};
 use super::{duty, news, standing};
 use crate::consts;
 use crate::names::CONFIG;
@@ -16,7 +16,12 @@
     let mut out = Vec::new();
     match event {
         Event::FromSeat { seat, msg } => match msg {
-            Msg::Reach { places } => w.reach[usize::from(seat)] = places,
+            // Said under another table it may be of a seat given away.
+            Msg::Reach { places, stamp } if stamp == w.stamp => {
+                if let Some(cell) = w.reach.get_mut(usize::from(seat)) {
+                    *cell = places;
+                }
+            }
             Msg::Tenure { ref name, count, rev, .. } => {
                 if *name == w.me.name {
                     standing::granted(w, Some(seat), count, rev);
@@ -26,6 +31,7 @@
             }
             msg => any(w, msg, false, &mut out),
         },
+        Event::Seats(table) => learn(w, &table, &mut out),
         Event::FromMember { name, msg } => from_member(w, now, &name, msg, &mut out),
         Event::Word { service, word } => duty::hear(w, service, word),
         Event::List(got) => duty::listed(w, got, &mut out),
@@ -37,8 +43,12 @@
         Event::Wake => {
             if now >= w.follow_at {
                 w.follow_at = now + consts::FOLLOW_BEAT;
-                for seat in 0..consts::SEATS as u8 {
-                    out.push(Command::ToSeat { seat, msg: Msg::Follow { places: places(w) } });
+                let msg = Msg::Follow { places: places(w), stamp: w.stamp };
+                if w.table.seats.is_empty() {
+                    out.push(Command::ToAll { msg: msg.clone() });
+                }
+                for seat in seats(w) {
+                    out.push(Command::ToSeat { seat, msg: msg.clone() });
                 }
             }
             standing::gossip(w, now, &mut out);
@@ -86,13 +96,17 @@
             }
             // Ask a member only for what the core did not bring us in time.
             if ahead && config && standing::core_age(w, now) >= consts::TENURE_WORRY {
-                standing::to_member(w, &name, Msg::Follow { places: places(w) }, out);
+                let msg = Msg::Follow { places: places(w), stamp: w.stamp };
+                standing::to_member(w, &name, msg, out);
             }
         }
-        Msg::Follow { places } => {
+        Msg::Seats { table, .. } => learn(w, &table, out),
+        Msg::Follow { places, stamp } => {
             let list = news::hand_on(w, &places);
             let cohort = Msg::Tell(w.cohort.clone());
-            for msg in list.into_iter().chain([cohort]) {
+            let seats = Msg::Seats { me: 0, table: w.table.clone() };
+            let seats = (stamp != w.stamp).then_some(seats);
+            for msg in list.into_iter().chain([cohort]).chain(seats) {
                 standing::to_member(w, name, msg, out);
             }
         }
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -6,9 +6,9 @@
 use indexmap::IndexMap;
 
 use crate::config::build::Built;
-use crate::consts::SEATS;
 use crate::names::{PartId, Seat, parts};
 use crate::query::desk::Door;
+use crate::seats::table::{Table, ballot, merge, stamp};
 use crate::time::Tick;
 use crate::view::leafs::LeafInfo;
 use crate::view::whole::View;
@@ -23,7 +23,10 @@
     pub began: Tick,
     pub held: BTreeMap<PartId, Held>,
     /// How far each seat last said it has accepted each part.
-    pub reach: [Vec<Place>; SEATS],
+    pub reach: Vec<Vec<Place>>,
+    /// The seats of the core; empty until a controller told us.
+    pub table: Table,
+    pub stamp: u64,
     /// Whether our first view is known not to be an old one.
     pub sure: bool,
     pub built: Arc<Built>,
@@ -136,6 +139,8 @@
         name: String,
         msg: Msg,
     },
+    /// A controller tells the table of the seats.
+    Seats(Table),
     /// A leaf spoke of itself, to a thread or to a probe.
     Word {
         service: String,
@@ -160,6 +165,12 @@
         addr: String,
         msg: Msg,
     },
+    /// To every controller that we know a way to.
+    ToAll {
+        msg: Msg,
+    },
+    /// The table of the seats changed: see to the wires.
+    Seats,
     View(Arc<View>),
     /// The members whose threads share the fleet's limits, with theirs;
     /// empty while we have no share.
@@ -179,7 +190,9 @@
         me,
         began: now,
         held: parts().map(|p| (p, Held::default())).collect(),
-        reach: [const { Vec::new() }; SEATS],
+        reach: Vec::new(),
+        table: Table::default(),
+        stamp: stamp(&Table::default()),
         sure: false,
         built: Arc::new(Built::default()),
         built_rev: 0,
@@ -210,6 +223,37 @@
     }
 }
 
+/// Takes in a table of the seats. Where an operator moves a seat by telling
+/// all processes its new address, the last word stands.
+pub fn learn(w: &mut Watch, theirs: &Table, out: &mut Vec<Command>) {
+    let mut new = merge(&w.table, theirs).unwrap_or_else(|| w.table.clone());
+    for (a, b) in new.seats.iter_mut().zip(&theirs.seats) {
+        if ballot(a) == ballot(b) {
+            *a = b.clone();
+        }
+    }
+    if new == w.table {
+        return;
+    }
+    w.reach.resize(new.seats.len(), Vec::new());
+    for (i, h) in new.seats.iter().enumerate() {
+        if w.table.seats.get(i).map(ballot) != Some(ballot(h)) {
+            w.reach[i].clear();
+            w.tenure.seat = w.tenure.seat.filter(|s| usize::from(*s) != i);
+        }
+    }
+    w.table = new;
+    w.stamp = stamp(&w.table);
+    w.follow_at = 0;
+    out.push(Command::Seats);
+}
+
+/// Every seat that somebody holds.
+pub fn seats(w: &Watch) -> Vec<Seat> {
+    let list = w.table.seats.iter().enumerate().filter(|(_, h)| h.holder != 0);
+    list.map(|(i, _)| i as Seat).collect()
+}
+
 /// Where we stand in every part.
 pub fn places(w: &Watch) -> Vec<Place> {
     w.held.iter().map(|(part, h)| Place { part: *part, rev: h.rev }).collect()
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -5,7 +5,7 @@
 // ---- versions -------------------------------------------------------------
 
 /// Version of the messages between our processes; another one is bounced.
-pub const WIRE_VERSION: u16 = 1;
+pub const WIRE_VERSION: u16 = 2;
 /// Version of the files on disk; another one is reported, never read.
 pub const DISK_VERSION: u16 = 1;
 
@@ -14,10 +14,14 @@
 /// Parts that hold services (count). Four spread owners over three seats
 /// without making the beats of ten machines noticeable.
 pub const SERVICE_PARTS: u32 = 4;
-/// Replicas of a part (count): the brief gives three machines with a disk.
-pub const SEATS: usize = 3;
-/// Replicas that make a majority (count).
-pub const MAJORITY: usize = 2;
+/// Replicas of a part (count) unless the params say otherwise: twice the
+/// machines that may be lost, and one.
+pub const SEATS: u64 = 3;
+/// Most seats (count): seven machines lost at once is beyond any brief.
+pub const SEATS_MAX: u8 = 15;
+/// Distance between a seat's epochs (count): above the most seats, and the same
+/// for any number of them, so that an epoch is one seat's for ever.
+pub const EPOCH_STRIDE: u64 = 16;
 /// How often an owner shows its replicas that it lives. A fifth of the
 /// election wait, so that four lost beats in a row do not cost an owner.
 pub const OWNER_BEAT: Span = ms(200);
@@ -33,8 +37,8 @@
 pub const OWNER_GRIP: Span = ms(900);
 /// A claim that gathered no majority in this time is given up.
 pub const CLAIM_PATIENCE: Span = ms(800);
-/// How long an accepted change waits for the third replica before the
-/// operator hears of it: two are enough, three survive two lost disks.
+/// How long an accepted change waits for the last replicas before the operator
+/// hears of it: a majority is enough, more survive more lost disks.
 pub const THIRD_WAIT: Span = ms(150);
 /// A replica whose disk has not finished a write for this long steps back.
 pub const DISK_STALL: Span = ms(2_000);
@@ -63,6 +67,23 @@
 /// patience, so that the reason is known when that ends.
 pub const OWNER_PATIENCE: Span = 3 * SECOND;
 
+// ---- seats ----------------------------------------------------------------
+
+/// How often a seat shows another that it lives, if nothing else does.
+pub const HERE_BEAT: Span = ms(500);
+/// Silence after which a seat's holder may be replaced. Five of the beats above
+/// and more than a restart takes; moving a seat costs a whole copy of the state.
+pub const SEAT_SILENCE: Span = ms(2_500);
+/// How long a vacant seat is kept for a zone that balances the seats better.
+pub const SEAT_BALANCE: Span = 10 * SECOND;
+/// How often a controller without a seat asks for one, and so hears who lives.
+pub const APPLY_BEAT: Span = ms(500);
+/// A seat that a controller without one has not heard for this long is passed
+/// over when operators' requests are handed over: three of the beats above.
+pub const APPLY_SILENCE: Span = ms(1_700);
+/// Least time between two tellings of the table to one that has another.
+pub const TABLE_AGAIN: Span = ms(200);
+
 // ---- wires between our processes -----------------------------------------
 
 /// Bytes of one piece of a message (bytes). Large messages travel in pieces
@@ -73,8 +94,16 @@
 /// Messages a wire may have waiting (count) before new ones are dropped;
 /// every message of ours may be lost and is sent again by its owner.
 pub const WIRE_BUFFER: usize = 1_024;
-/// Wait before a lost wire is tried again.
+/// Wait before a lost wire is tried again; doubles up to `WIRE_RETRY_MAX`, so
+/// that machines that are gone for good cost little.
 pub const WIRE_RETRY: Span = ms(200);
+pub const WIRE_RETRY_MAX: Span = ms(1_000);
+/// A wire that is not up in this time is tried again: a machine without power
+/// says nothing, and the system would wait for minutes.
+pub const WIRE_DIAL: Span = ms(500);
+/// Bytes that nobody acknowledges for this long end a wire. Below the patience
+/// with a seat, so that a wire to a dead machine is not taken for a good one.
+pub const WIRE_SILENCE: Span = ms(2_000);
 /// A wire on which nothing can be written for this long is cut.
 pub const WIRE_STALL: Span = 3 * SECOND;
 
--- a/crates/grebe/src/digest.rs
+++ b/crates/grebe/src/digest.rs
@@ -16,11 +16,6 @@
     u64::from_le_bytes(raw)
 }
 
-/// The number of a fleet: a hash of its seeds, in the order of their seats.
-pub fn fleet(seeds: &[std::net::SocketAddr]) -> u64 {
-    hash(&seeds.iter().map(|s| s.to_string()).collect::<Vec<_>>().join(","))
-}
-
 /// A cheap stable hash of two numbers, for rendezvous ranks on the hot path.
 pub fn pair(a: u64, b: u64) -> u64 {
     crate::luck::mix(a ^ crate::luck::mix(b))
--- a/crates/grebe/src/names.rs
+++ b/crates/grebe/src/names.rs
@@ -37,5 +37,5 @@
     (0..=crate::consts::SERVICE_PARTS).map(PartId)
 }
 
-/// One of the three places of a replica group: the index of its seed address.
+/// One of the places of a replica group: an index into the table of the seats.
 pub type Seat = u8;
--- /dev/null
+++ b/crates/grebe/src/seats/apply.rs
@@ -0,0 +1,125 @@
+//! How a controller without a seat comes to one: it asks whether a majority
+//! would give it a seat, and only then takes it. While no seat is free it goes
+//! on asking, and is at hand.
+
+use super::seating::{self, newest};
+use super::table::{FIRST, Holding, NOBODY, balanced, majority};
+use crate::consts;
+use crate::digest::pair;
+use crate::names::Seat;
+use crate::state::core::{Command, Core, WireId};
+use crate::time::{Tick, since};
+use crate::wire::msg::Msg;
+
+/// The seats that a seat would give us, and when it said so.
+#[derive(Clone)]
+pub struct Offer {
+    pub at: Tick,
+    pub free: Vec<Seat>,
+}
+
+/// Time passes for a controller that has no seat.
+pub fn wake(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
+    let s = &mut core.seating;
+    if now < s.apply_at || s.roll.me == 0 {
+        return;
+    }
+    s.apply_at = now + consts::APPLY_BEAT;
+    let (holder, addr, zone) = (s.roll.me, s.addr.clone(), s.zone.clone());
+    let stamp = s.stamp;
+    out.push(Command::ToAll { msg: Msg::Apply { holder, addr, zone, stamp } });
+}
+
+/// Whether we would give seat `k` to a controller: it is vacant, or it is the
+/// controller's own from before its disk was lost, or its holder is silent.
+fn gives(core: &Core, now: Tick, k: Seat, (holder, addr, zone): (u64, &str, &str)) -> bool {
+    let s = &core.seating;
+    let table = newest(s);
+    let Some(h) = table.seats.get(usize::from(k)) else { return false };
+    if k == core.seat || h.holder == holder {
+        return false;
+    }
+    if h.holder != 0 && h.addr == addr {
+        return true;
+    }
+    // One that has a seat elsewhere, or had one under this address, takes that.
+    if table.seats.iter().any(|h| h.holder == holder || (h.holder != 0 && h.addr == addr)) {
+        return false;
+    }
+    let fits = balanced(table, k, zone);
+    if h.holder == 0 {
+        return fits || since(s.began, now) >= consts::SEAT_BALANCE;
+    }
+    fits && s.quiet.get(usize::from(k)).is_some_and(|q| *q >= consts::SEAT_SILENCE)
+}
+
+/// A controller without a seat asks what we would give it.
+pub fn asked(
+    core: &mut Core,
+    now: Tick,
+    wire: WireId,
+    (holder, addr, zone): (u64, &str, &str),
+    stamp: u64,
+    out: &mut Vec<Command>,
+) {
+    if stamp != core.seating.stamp {
+        seating::tell(core, wire, out);
+    }
+    if core.seat == NOBODY {
+        return;
+    }
+    let size = core.seating.roll.table.seats.len() as Seat;
+    let free = (0..size).filter(|k| gives(core, now, *k, (holder, addr, zone))).collect();
+    let (seat, stamp) = (core.seat, core.seating.stamp);
+    out.push(Command::ToWire { wire, msg: Msg::Offer { seat, stamp, free } });
+}
+
+/// A seat says what it would give us.
+pub fn offered(
+    core: &mut Core,
+    now: Tick,
+    (seat, stamp): (Seat, u64),
+    free: Vec<Seat>,
+    out: &mut Vec<Command>,
+) {
+    let s = &mut core.seating;
+    if let Some(quiet) = s.quiet.get_mut(usize::from(seat)) {
+        *quiet = 0;
+    }
+    if core.seat != NOBODY || stamp != s.stamp || s.next.is_some() {
+        return;
+    }
+    let Some(cell) = s.offers.get_mut(usize::from(seat)) else { return };
+    *cell = Some(Offer { at: now, free });
+    let size = s.offers.len();
+    let yes = |k: Seat| {
+        let list = s.offers.iter().enumerate().filter(|(i, _)| *i != usize::from(k));
+        list.filter_map(|(_, o)| o.as_ref())
+            .filter(|o| since(o.at, now) < 2 * consts::APPLY_BEAT && o.free.contains(&k))
+            .count()
+    };
+    let ours = |k: &Seat| s.roll.table.seats[usize::from(*k)].addr == s.addr;
+    let open = (0..size as Seat).filter(|k| yes(*k) >= majority(size));
+    // Our own from before first; else applicants spread over what is free.
+    let Some(k) = open.max_by_key(|k| (ours(k), pair(s.roll.me, u64::from(*k)))) else { return };
+    let generation = s.roll.table.seats[usize::from(k)].generation.max(FIRST) + 1;
+    let (addr, zone) = (s.addr.clone(), s.zone.clone());
+    let holding = Holding { generation, holder: s.roll.me, addr, zone };
+    s.offers = vec![None; size];
+    out.push(Command::ToAll { msg: Msg::Take { seat: k, holding } });
+}
+
+/// A controller takes a seat that a majority would give it. We agree by
+/// holding the table with it; that is told once it is on our disk.
+pub fn taken(core: &mut Core, now: Tick, k: Seat, new: Holding, out: &mut Vec<Command>) {
+    if core.seat == NOBODY || !gives(core, now, k, (new.holder, &new.addr, &new.zone)) {
+        return;
+    }
+    let mut table = newest(&core.seating).clone();
+    let cell = &mut table.seats[usize::from(k)];
+    if new.holder == 0 || new.generation != cell.generation.max(FIRST) + 1 {
+        return;
+    }
+    *cell = new;
+    seating::put(core, now, table, out);
+}
--- /dev/null
+++ b/crates/grebe/src/seats/roll.rs
@@ -0,0 +1,89 @@
+//! What a controller keeps on disk of the seats: who it is, and the table.
+
+use nanoserde::{DeBin, SerBin};
+
+use super::table::{Table, first_holder, first_table, merge, seat_of, told_holder, told_table};
+use crate::consts::{DISK_VERSION, RECORD_LIMIT};
+use crate::names::Seat;
+
+const MARK: &[u8; 6] = b"GRBrol";
+/// Bytes before the body: mark, version u16, length u32, checksum u32.
+const HEAD: usize = 16;
+
+/// A controller's identity and what it knows of the seats.
+///
+/// Invariant: `me` is on disk before anybody hears it.
+#[derive(Clone, Debug, Default, PartialEq, DeBin, SerBin)]
+pub struct Roll {
+    pub me: u64,
+    /// This disk was there, empty, when the fleet first began.
+    pub first: bool,
+    pub table: Table,
+}
+
+/// The bytes of the file.
+pub fn write(roll: &Roll) -> Vec<u8> {
+    let body = roll.serialize_bin();
+    let mut out = Vec::with_capacity(HEAD + body.len());
+    out.extend(MARK);
+    out.extend(DISK_VERSION.to_le_bytes());
+    out.extend((body.len() as u32).to_le_bytes());
+    out.extend(crc32fast::hash(&body).to_le_bytes());
+    out.extend(body);
+    out
+}
+
+/// Reads the file; anything that does not fit counts as no file at all.
+pub fn read(raw: &[u8]) -> Option<Roll> {
+    let (head, body) = raw.split_at_checked(HEAD)?;
+    let num = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+    let fits = head[..6] == MARK[..]
+        && head[6..8] == DISK_VERSION.to_le_bytes()
+        && num(8) as usize == body.len()
+        && num(8) <= RECORD_LIMIT
+        && num(12) == crc32fast::hash(body);
+    let roll = fits.then(|| Roll::deserialize_bin(body).ok()).flatten()?;
+    (roll.me != 0 && roll.table.seats.len() <= usize::from(crate::consts::SEATS_MAX))
+        .then_some(roll)
+}
+
+/// What a controller is told of the seats at its start.
+pub struct Start {
+    /// Its seat, where an operator gives the seats away.
+    pub seat: Option<Seat>,
+    /// Whether this is the fleet's first start of all.
+    pub first: bool,
+    pub seeds: Vec<String>,
+    /// How many seats a fleet begins with.
+    pub size: usize,
+    /// Where others reach it.
+    pub addr: String,
+}
+
+/// Who a controller is at its start, by what it is told and what it found on
+/// its disk, and whether the parts found there must be set aside. `bare`: there
+/// are none. The roll must be on disk before anything else is done.
+pub fn begin(found: Option<Roll>, p: &Start, bare: bool, nonce: u64) -> (Roll, bool) {
+    let fresh = |table: Table| (Roll { me: nonce | 1, first: false, table }, !bare);
+    match (found, p.seat) {
+        (found, Some(seat)) => {
+            let told = told_table(&p.seeds);
+            let me = found.as_ref().map_or(told_holder(seat), |r| r.me);
+            let table = found.and_then(|r| merge(&told, &r.table)).unwrap_or(told);
+            match seat_of(&table, me) {
+                Some(_) => (Roll { me, first: me == told_holder(seat), table }, false),
+                // It was given to another while we were down.
+                None => fresh(table),
+            }
+        }
+        (Some(roll), None) if seat_of(&roll.table, roll.me).is_some() => (roll, false),
+        // Never more than an applicant: the id stays, one may be granted to it.
+        (Some(roll), None) if bare => (roll, false),
+        (Some(roll), None) => fresh(roll.table),
+        (None, None) if p.first && bare && p.seeds.contains(&p.addr) => {
+            let table = first_table(&p.seeds, p.size);
+            (Roll { me: first_holder(&p.addr), first: true, table }, false)
+        }
+        (None, None) => fresh(Table::default()),
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/seats/seating.rs
@@ -0,0 +1,299 @@
+//! A controller's knowledge of the seats: hearing, keeping and telling the
+//! table, and what follows for its own parts when it changes.
+
+use indexmap::IndexSet;
+
+use super::apply::Offer;
+use super::roll::Roll;
+use super::table::{Group, NOBODY, Table, ballot, group, merge, others, seat_of, stamp};
+use crate::consts;
+use crate::luck::draw;
+use crate::names::Seat;
+use crate::state::core::{Command, Core, WireId};
+use crate::state::{part, replica};
+use crate::time::{Span, Tick, since};
+use crate::wire::msg::{Life, Msg};
+
+/// What a controller knows of the seats.
+///
+/// Invariants: `roll` is on disk; what is told, counted or done rests on it
+/// alone; `next` follows it and is on its way to the disk.
+pub struct Seating {
+    pub roll: Roll,
+    pub stamp: u64,
+    /// Where others reach us, and our zone.
+    pub addr: String,
+    pub zone: String,
+    pub next: Option<Next>,
+    pub token: u64,
+    pub began: Tick,
+    pub woke: Tick,
+    /// For how long each seat's holder was not heard, while we were awake: a
+    /// process that was paused must not take its pause for others' silence.
+    pub quiet: Vec<Span>,
+    /// When we last sent something to each seat, and told it the table.
+    pub sent: Vec<Tick>,
+    pub told: Vec<Tick>,
+    /// Wires that others opened to us.
+    pub wires: IndexSet<WireId>,
+    pub apply_at: Tick,
+    /// The seats that each seat would give us, while we have none.
+    pub offers: Vec<Option<Offer>>,
+    /// Counts the requests handed over without a seat, to spread them.
+    pub turns: usize,
+}
+
+/// A roll on its way to the disk.
+pub struct Next {
+    pub roll: Roll,
+    pub token: u64,
+    /// The parts' files are set aside first: they are of a former life.
+    pub clear: bool,
+    /// When it is tried again after a trouble.
+    pub again: Option<Tick>,
+}
+
+/// The seating of a controller that has read its disk.
+pub fn seating(roll: Roll, (addr, zone): (&str, &str), now: Tick) -> Seating {
+    let size = roll.table.seats.len();
+    Seating {
+        stamp: stamp(&roll.table),
+        roll,
+        addr: addr.to_string(),
+        zone: zone.to_string(),
+        next: None,
+        token: 0,
+        began: now,
+        woke: now,
+        quiet: vec![0; size],
+        sent: vec![0; size],
+        told: vec![0; size],
+        wires: IndexSet::new(),
+        apply_at: now,
+        offers: vec![None; size],
+        turns: 0,
+    }
+}
+
+/// The group of replicas as this controller sees it.
+pub fn here(core: &Core) -> Group {
+    group(&core.seating.roll.table, core.seat, core.seating.roll.first)
+}
+
+/// The newest table we know, on disk or on its way there.
+pub fn newest(s: &Seating) -> &Table {
+    s.next.as_ref().map_or(&s.roll.table, |n| &n.roll.table)
+}
+
+/// Whether `holder` has `seat` by the table that we hold.
+pub fn holds(s: &Seating, seat: Seat, holder: u64) -> bool {
+    s.roll.table.seats.get(usize::from(seat)).is_some_and(|h| h.holder == holder && holder != 0)
+}
+
+/// Takes in a table that somebody told us.
+pub fn learn(core: &mut Core, now: Tick, theirs: &Table, out: &mut Vec<Command>) {
+    if let Some(table) = merge(newest(&core.seating), theirs) {
+        put(core, now, table, out);
+    }
+}
+
+/// Sends a newer table to the disk; it is adopted once it is there.
+pub fn put(core: &mut Core, now: Tick, table: Table, out: &mut Vec<Command>) {
+    let s = &core.seating;
+    let (mut roll, clear) =
+        s.next.as_ref().map_or((s.roll.clone(), false), |n| (n.roll.clone(), n.clear));
+    roll.table = table;
+    keep(core, now, roll, clear, out);
+}
+
+fn keep(core: &mut Core, _now: Tick, roll: Roll, clear: bool, out: &mut Vec<Command>) {
+    let s = &mut core.seating;
+    s.token += 1;
+    let token = s.token;
+    out.push(Command::Keep { token, roll: roll.clone(), clear });
+    s.next = Some(Next { roll, token, clear, again: None });
+}
+
+/// The disk failed to keep the roll: it is tried again.
+pub fn trouble(core: &mut Core, now: Tick, why: &str, out: &mut Vec<Command>) {
+    if let Some(next) = &mut core.seating.next {
+        next.again = Some(now + consts::DISK_STALL);
+        out.push(Command::Alarm(format!("the table of the seats can't be kept: {why}")));
+    }
+}
+
+/// A roll is on disk: from here on we act by it.
+pub fn kept(core: &mut Core, now: Tick, token: u64, out: &mut Vec<Command>) {
+    // An older one that is there too is only part of the newest.
+    let Some(next) = core.seating.next.take_if(|n| n.token == token) else { return };
+    let s = &mut core.seating;
+    let old = std::mem::replace(&mut s.roll, next.roll);
+    s.stamp = stamp(&s.roll.table);
+    let size = s.roll.table.seats.len();
+    s.quiet.resize(size, 0);
+    s.sent.resize(size, 0);
+    s.told.resize(size, 0);
+    s.offers = vec![None; size];
+    let moved: Vec<bool> = (0..size)
+        .map(|i| old.table.seats.get(i).map(ballot) != s.roll.table.seats.get(i).map(ballot))
+        .collect();
+    for (i, _) in moved.iter().enumerate().filter(|(_, m)| **m) {
+        s.quiet[i] = 0;
+        let h = &s.roll.table.seats[i];
+        let text = format!("seat {i}: {} has it, generation {}", h.addr, h.generation);
+        out.push(Command::Alarm(text));
+    }
+    out.push(Command::Seats);
+    let seat = seat_of(&s.roll.table, s.roll.me).unwrap_or(NOBODY);
+    if core.seat != seat {
+        let had = std::mem::replace(&mut core.seat, seat);
+        if had != NOBODY {
+            // Given to another: what we hold may not count any more, for good.
+            return renounce(core, now, out);
+        }
+        // What our address granted in a former life must have run out.
+        let from = core.seating.began + consts::OWNER_SILENCE;
+        for p in &mut core.parts {
+            p.relearn.ask_at = now.max(from);
+        }
+    }
+    if moved.iter().any(|m| *m) {
+        let g = here(core);
+        for p in &mut core.parts {
+            replica::moved(p, now, g, &moved, out);
+        }
+    }
+    tell_all(core, out);
+}
+
+/// Our seat is another's: we begin anew, as a controller that has nothing.
+fn renounce(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
+    out.push(Command::Alarm("our seat was given to another: we begin anew without one".into()));
+    core.seat = NOBODY;
+    for p in &mut core.parts {
+        replica::resign(p, now, None, out);
+        let mut fresh = part::part(p.id, Life::Empty, Default::default(), 0, now);
+        fresh.next_token = p.next_token;
+        *p = fresh;
+    }
+    core.members = Default::default();
+    let me = draw(&mut core.luck) | 1;
+    let roll = Roll { me, first: false, table: core.seating.roll.table.clone() };
+    // The former id is nobody's any more; nobody is told a new one yet.
+    core.seating.roll.me = 0;
+    keep(core, now, roll, true, out);
+}
+
+fn telling(s: &Seating) -> Msg {
+    Msg::Seats { me: s.roll.me, table: s.roll.table.clone() }
+}
+
+/// Tells everyone the table.
+fn tell_all(core: &mut Core, out: &mut Vec<Command>) {
+    let msg = telling(&core.seating);
+    for seat in others(here(core)) {
+        out.push(Command::ToSeat { seat, msg: msg.clone() });
+    }
+    for wire in &core.seating.wires {
+        out.push(Command::ToWire { wire: *wire, msg: msg.clone() });
+    }
+}
+
+/// Tells the table on one wire.
+pub fn tell(core: &Core, wire: WireId, out: &mut Vec<Command>) {
+    if !core.seating.roll.table.seats.is_empty() {
+        out.push(Command::ToWire { wire, msg: telling(&core.seating) });
+    }
+}
+
+/// Tells the table to a seat that has another, not too often.
+pub fn tell_again(core: &mut Core, now: Tick, seat: Seat, wire: WireId, out: &mut Vec<Command>) {
+    let Some(at) = core.seating.told.get_mut(usize::from(seat)) else { return };
+    if since(*at, now) >= consts::TABLE_AGAIN {
+        *at = now;
+        tell(core, wire, out);
+    }
+}
+
+/// Somebody told us its table on a wire that we opened.
+pub fn answered(core: &mut Core, now: Tick, me: u64, theirs: &Table, out: &mut Vec<Command>) {
+    learn(core, now, theirs, out);
+    // It lacks something that we hold.
+    if merge(theirs, &core.seating.roll.table).is_some()
+        && let Some(seat) = seat_of(&core.seating.roll.table, me)
+    {
+        out.push(Command::ToSeat { seat, msg: telling(&core.seating) });
+    }
+}
+
+/// The stamp of a message that counts only under equal tables.
+pub fn stamp_of(msg: &Msg) -> Option<u64> {
+    match msg {
+        Msg::Grant { stamp, .. }
+        | Msg::Kept { stamp, .. }
+        | Msg::Beaten { stamp, .. }
+        | Msg::Stand { stamp, .. }
+        | Msg::Here { stamp } => Some(*stamp),
+        _ => None,
+    }
+}
+
+fn stamped(msg: &mut Msg) -> Option<&mut u64> {
+    match msg {
+        Msg::Grant { stamp, .. }
+        | Msg::Kept { stamp, .. }
+        | Msg::Beaten { stamp, .. }
+        | Msg::Stand { stamp, .. }
+        | Msg::Here { stamp } => Some(stamp),
+        _ => None,
+    }
+}
+
+/// Puts our stamp on what needs it, and notes to whom we spoke.
+pub fn mark(core: &mut Core, now: Tick, out: &mut [Command]) {
+    for command in out {
+        if let Command::ToSeat { seat, msg } = command {
+            if let Some(stamp) = stamped(msg) {
+                *stamp = core.seating.stamp;
+            }
+            if let Some(at) = core.seating.sent.get_mut(usize::from(*seat)) {
+                *at = now;
+            }
+        }
+    }
+}
+
+/// Time passes: silence is counted, and we show that we live.
+pub fn wake(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
+    let s = &mut core.seating;
+    let past = since(s.woke, now).min(2 * crate::state::step::WAKE);
+    s.woke = now;
+    for quiet in &mut s.quiet {
+        *quiet += past;
+    }
+    if let Some(next) = &mut s.next
+        && next.again.is_some_and(|at| now >= at)
+    {
+        next.again = None;
+        let (token, roll, clear) = (next.token, next.roll.clone(), next.clear);
+        out.push(Command::Keep { token, roll, clear });
+    }
+    if core.seat == NOBODY {
+        return super::apply::wake(core, now, out);
+    }
+    // Our own zone, where the seeds could not tell it.
+    let own = usize::from(core.seat);
+    if core.seating.next.is_none()
+        && core.seating.roll.table.seats[own].zone.is_empty()
+        && !core.seating.zone.is_empty()
+    {
+        let mut table = core.seating.roll.table.clone();
+        table.seats[own].zone.clone_from(&core.seating.zone);
+        put(core, now, table, out);
+    }
+    for seat in others(here(core)) {
+        if since(core.seating.sent[usize::from(seat)], now) >= consts::HERE_BEAT {
+            out.push(Command::ToSeat { seat, msg: Msg::Here { stamp: 0 } });
+        }
+    }
+}
--- /dev/null
+++ b/crates/grebe/src/seats/table.rs
@@ -0,0 +1,169 @@
+//! The table of the seats.
+
+use nanoserde::{DeBin, SerBin};
+
+use crate::consts;
+use crate::digest::hash;
+use crate::names::Seat;
+
+/// The seat of a controller that has none.
+pub const NOBODY: Seat = Seat::MAX;
+/// Generation of the holders with which a fleet begins.
+pub const FIRST: u32 = 1;
+
+/// Who holds a seat.
+///
+/// Invariant: one (`generation`, `holder`) has one `addr` and `zone` for ever,
+/// but that the zone of a first holder is filled in when it is heard. Vacant:
+/// generation 0, holder 0.
+#[derive(Clone, Debug, Default, PartialEq, DeBin, SerBin)]
+pub struct Holding {
+    pub generation: u32,
+    /// Drawn once in a disk's life; of first holders it follows from the seeds.
+    pub holder: u64,
+    /// Where the other processes reach it.
+    pub addr: String,
+    pub zone: String,
+}
+
+/// All seats. Empty: not known yet.
+#[derive(Clone, Debug, Default, PartialEq, DeBin, SerBin)]
+pub struct Table {
+    pub seats: Vec<Holding>,
+}
+
+/// A seat among the others: what the replica groups need of the table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Group {
+    pub seat: Seat,
+    /// All seats, vacant ones counted.
+    pub size: usize,
+    /// Seats that somebody holds, as bits.
+    pub taken: u16,
+    /// Seats that their first holder still has, as bits.
+    pub firsts: u16,
+    /// Whether this controller's disk began with the fleet.
+    pub first: bool,
+}
+
+/// How many of so many seats make a majority.
+pub fn majority(size: usize) -> usize {
+    size / 2 + 1
+}
+
+/// The group as `seat` sees it.
+pub fn group(table: &Table, seat: Seat, first: bool) -> Group {
+    let bits = |fits: &dyn Fn(&Holding) -> bool| {
+        let list = table.seats.iter().enumerate();
+        list.filter(|(_, h)| fits(h)).fold(0u16, |bits, (i, _)| bits | 1 << i)
+    };
+    Group {
+        seat,
+        size: table.seats.len(),
+        taken: bits(&|h| h.holder != 0),
+        firsts: bits(&|h| h.generation == FIRST),
+        first,
+    }
+}
+
+/// Every other seat that somebody holds.
+pub fn others(g: Group) -> impl Iterator<Item = Seat> {
+    (0..g.size as Seat).filter(move |s| *s != g.seat && g.taken >> *s & 1 == 1)
+}
+
+/// Which of two holdings of a seat stands.
+pub fn ballot(h: &Holding) -> (u32, u64) {
+    (h.generation, h.holder)
+}
+
+/// A number that two tables share only if the same holders have the seats.
+pub fn stamp(table: &Table) -> u64 {
+    let text: String =
+        table.seats.iter().map(|h| format!("{}.{:x}/", h.generation, h.holder)).collect();
+    hash(&text)
+}
+
+/// The seat of a holder.
+pub fn seat_of(table: &Table, holder: u64) -> Option<Seat> {
+    let at = table.seats.iter().position(|h| holder != 0 && h.holder == holder)?;
+    Some(at as Seat)
+}
+
+/// `ours` with all that is newer in `theirs`; `None` if nothing is. Tables of
+/// another size are another fleet's.
+pub fn merge(ours: &Table, theirs: &Table) -> Option<Table> {
+    let size = theirs.seats.len();
+    if size == 0 || size > usize::from(consts::SEATS_MAX) {
+        return None;
+    }
+    if ours.seats.is_empty() {
+        return Some(theirs.clone());
+    }
+    if ours.seats.len() != size {
+        return None;
+    }
+    let mut new = ours.clone();
+    for (a, b) in new.seats.iter_mut().zip(&theirs.seats) {
+        if ballot(b) > ballot(a) {
+            *a = b.clone();
+        } else if ballot(b) == ballot(a) && a.zone.is_empty() {
+            a.zone.clone_from(&b.zone);
+        }
+    }
+    (new != *ours).then_some(new)
+}
+
+/// The id of the holder with which a seat begins at an address.
+pub fn first_holder(addr: &str) -> u64 {
+    hash(addr) | 1
+}
+
+/// The table with which a fleet begins: its seeds hold the first seats, the
+/// others are vacant. With fewer seeds than a majority nobody could ever be
+/// formed, so there are fewer seats then.
+pub fn first_table(seeds: &[String], size: usize) -> Table {
+    let mut size = size.min(usize::from(consts::SEATS_MAX));
+    if seeds.len() < majority(size) {
+        size = (seeds.len().max(1) - 1) | 1;
+    }
+    let seat = |i: usize| match seeds.get(i) {
+        Some(addr) => Holding {
+            generation: FIRST,
+            holder: first_holder(addr),
+            addr: addr.clone(),
+            zone: String::new(),
+        },
+        None => Holding::default(),
+    };
+    Table { seats: (0..size).map(seat).collect() }
+}
+
+/// The table of a fleet whose controllers are told their seats: the seeds in
+/// their order. Holders are known by their seat, so an operator may move one.
+pub fn told_table(seeds: &[String]) -> Table {
+    let seat = |(i, addr): (usize, &String)| Holding {
+        generation: FIRST,
+        holder: told_holder(i as Seat),
+        addr: addr.clone(),
+        zone: String::new(),
+    };
+    Table { seats: seeds.iter().enumerate().map(seat).collect() }
+}
+
+/// The holder's id of a controller that is told its seat.
+pub fn told_holder(seat: Seat) -> u64 {
+    u64::from(seat) + 1
+}
+
+/// Whether a zone may have seat `k`: none comes to hold so many that its loss
+/// would take the majority, unless one does already.
+pub fn balanced(table: &Table, k: Seat, zone: &str) -> bool {
+    let size = table.seats.len();
+    let count = |zone: &str, without: Option<Seat>| {
+        let list = table.seats.iter().enumerate();
+        list.filter(|(i, h)| h.holder != 0 && h.zone == zone && Some(*i as Seat) != without).count()
+    };
+    let worst = table.seats.iter().map(|h| count(&h.zone, None)).max().unwrap_or(0);
+    let after = count(zone, Some(k)) + 1;
+    zone.is_empty() || after <= (size - majority(size)).max(worst)
+}
--- a/crates/grebe/src/state/claim.rs
+++ b/crates/grebe/src/state/claim.rs
@@ -1,46 +1,45 @@
 //! How a seat comes to own a part: sound, promise, gather grants, adopt the
 //! newest copy, re-write it under the new epoch, then serve.
 
-use super::core::{Command, Core, others};
+use super::core::{Command, Core};
 use super::owner;
 use super::part::{After, Claim, Part, Role, able};
 use super::replica::{follow, keep, keep_whole};
-use crate::consts::{self, MAJORITY, SEATS};
+use crate::consts;
 use crate::digest::{hash, pair};
 use crate::disk::rec::{Copy, Rec, apply};
 use crate::luck::{Luck, below};
 use crate::names::{PartId, Seat};
+use crate::seats::table::{Group, majority, others};
 use crate::time::{Span, Tick, since};
 use crate::wire::msg::{Map, Msg};
 
 /// The next epoch above `seen` that only this seat uses.
 pub fn next_epoch(seen: u64, seat: Seat) -> u64 {
-    (seen / SEATS as u64 + 1) * SEATS as u64 + u64::from(seat)
+    (seen / consts::EPOCH_STRIDE + 1) * consts::EPOCH_STRIDE + u64::from(seat)
 }
 
 /// A seat's rank for a part: 0 claims first. Spreads the owners.
-pub fn rank(id: PartId, seat: Seat) -> u64 {
+pub fn rank(id: PartId, g: Group) -> u64 {
     let thing = hash(&id.to_string());
-    let mine = pair(thing, u64::from(seat));
-    others(seat).filter(|s| pair(thing, u64::from(*s)) < mine).count() as u64
+    let mine = pair(thing, u64::from(g.seat));
+    others(g).filter(|s| pair(thing, u64::from(*s)) < mine).count() as u64
 }
 
 /// How long this seat lets a part be without an owner before it sounds.
-fn patience(id: PartId, seat: Seat, luck: &mut Luck) -> Span {
-    consts::OWNER_SILENCE
-        + rank(id, seat) * consts::CLAIM_STAGGER
-        + below(luck, consts::CLAIM_JITTER)
+fn patience(id: PartId, g: Group, luck: &mut Luck) -> Span {
+    consts::OWNER_SILENCE + rank(id, g) * consts::CLAIM_STAGGER + below(luck, consts::CLAIM_JITTER)
 }
 
 /// Time passes for a seat that does not own the part.
-pub fn wake(p: &mut Part, now: Tick, seat: Seat, luck: &mut Luck, out: &mut Vec<Command>) {
+pub fn wake(p: &mut Part, now: Tick, g: Group, luck: &mut Luck, out: &mut Vec<Command>) {
     if !able(p) {
         return;
     }
     match &p.role {
-        Role::Follower { heard, .. } if since(*heard, now) >= patience(p.id, seat, luck) => {
-            let epoch = next_epoch(p.copy.promised, seat);
-            start_sounding(p, now, seat, epoch, out);
+        Role::Follower { heard, .. } if since(*heard, now) >= patience(p.id, g, luck) => {
+            let epoch = next_epoch(p.copy.promised, g.seat);
+            start_sounding(p, now, g, epoch, out);
         }
         Role::Sounding { until, .. } if now >= *until => {
             follow(p, now, None);
@@ -53,20 +52,23 @@
 }
 
 /// Asks the others whether they would grant.
-fn start_sounding(p: &mut Part, now: Tick, seat: Seat, epoch: u64, out: &mut Vec<Command>) {
-    let mut yes = [false; SEATS];
-    yes[usize::from(seat)] = true;
+fn start_sounding(p: &mut Part, now: Tick, g: Group, epoch: u64, out: &mut Vec<Command>) {
+    let mut yes = vec![false; g.size];
+    yes[usize::from(g.seat)] = true;
     p.role = Role::Sounding { epoch, yes, until: now + consts::CLAIM_PATIENCE };
-    for to in others(seat) {
+    for to in others(g) {
         out.push(Command::ToSeat { seat: to, msg: Msg::Sound { part: p.id, epoch } });
     }
+    if majority(g.size) == 1 {
+        start_claim(p, now, g, epoch, out);
+    }
 }
 
 /// An answer to a sounding.
 pub fn sounded(
     p: &mut Part,
     now: Tick,
-    (seat, from): (Seat, Seat),
+    (g, from): (Group, Seat),
     epoch: u64,
     (yes, promised): (bool, u64),
     out: &mut Vec<Command>,
@@ -77,17 +79,17 @@
     }
     if promised >= epoch {
         // Somebody is further than we knew; sound again above that.
-        let epoch = next_epoch(promised, seat);
-        return start_sounding(p, now, seat, epoch, out);
+        let epoch = next_epoch(promised, g.seat);
+        return start_sounding(p, now, g, epoch, out);
     }
     all[usize::from(from)] = yes;
-    if all.iter().filter(|y| **y).count() >= MAJORITY {
-        start_claim(p, now, epoch, out);
+    if all.iter().filter(|y| **y).count() >= majority(g.size) {
+        start_claim(p, now, g, epoch, out);
     }
 }
 
 /// Promises to ourselves first; the others are asked once that is synced.
-pub fn start_claim(p: &mut Part, now: Tick, epoch: u64, out: &mut Vec<Command>) {
+pub fn start_claim(p: &mut Part, now: Tick, g: Group, epoch: u64, out: &mut Vec<Command>) {
     if epoch <= p.copy.promised || !able(p) {
         follow(p, now, None);
         return;
@@ -95,7 +97,7 @@
     apply(&mut p.copy, &Rec::Promise { epoch });
     p.role = Role::Claiming(Claim {
         epoch,
-        grants: [None; SEATS],
+        grants: vec![None; g.size],
         fetch: None,
         until: now + consts::CLAIM_PATIENCE,
     });
@@ -103,23 +105,24 @@
 }
 
 /// Our own promise is synced: ask the others.
-pub fn own_promise(p: &mut Part, seat: Seat, epoch: u64, out: &mut Vec<Command>) {
+pub fn own_promise(p: &mut Part, now: Tick, g: Group, epoch: u64, out: &mut Vec<Command>) {
     let here = (p.copy.epoch, p.copy.rev);
     let Role::Claiming(c) = &mut p.role else { return };
     if c.epoch != epoch {
         return;
     }
-    c.grants[usize::from(seat)] = Some(here);
-    for to in others(seat) {
+    c.grants[usize::from(g.seat)] = Some(here);
+    for to in others(g) {
         out.push(Command::ToSeat { seat: to, msg: Msg::Claim { part: p.id, epoch } });
     }
+    gathered(p, now, g, epoch, out);
 }
 
 /// A seat granted our claim, with the place of its copy.
 pub fn granted(
     p: &mut Part,
     now: Tick,
-    (seat, from): (Seat, Seat),
+    (g, from): (Group, Seat),
     epoch: u64,
     at: (u64, u64),
     out: &mut Vec<Command>,
@@ -129,20 +132,26 @@
         return;
     }
     c.grants[usize::from(from)] = Some(at);
+    gathered(p, now, g, epoch, out);
+}
+
+/// Goes on once a majority has granted.
+fn gathered(p: &mut Part, now: Tick, g: Group, epoch: u64, out: &mut Vec<Command>) {
+    let Role::Claiming(c) = &mut p.role else { return };
     let list: Vec<(Seat, (u64, u64))> =
-        (0..SEATS as Seat).filter_map(|s| c.grants[usize::from(s)].map(|g| (s, g))).collect();
-    if list.len() < MAJORITY {
+        c.grants.iter().enumerate().filter_map(|(s, g)| g.map(|g| (s as Seat, g))).collect();
+    if list.len() < majority(g.size) {
         return;
     }
     let own = (p.copy.epoch, p.copy.rev);
-    match list.iter().max_by_key(|(_, g)| *g) {
-        Some((best, g)) if *g > own && *best != seat => {
+    match list.iter().max_by_key(|(_, at)| *at) {
+        Some((best, at)) if *at > own && *best != g.seat => {
             c.fetch = Some(*best);
             c.until = now + consts::CLAIM_PATIENCE;
             let msg = Msg::AskWhole { part: p.id, nonce: epoch };
             out.push(Command::ToSeat { seat: *best, msg });
         }
-        _ => adopt(p, now, epoch, out),
+        _ => adopt(p, now, g, epoch, out),
     }
 }
 
@@ -150,7 +159,7 @@
 pub fn fetched(
     p: &mut Part,
     now: Tick,
-    from: Seat,
+    (g, from): (Group, Seat),
     nonce: u64,
     at: (u64, u64),
     map: Map,
@@ -169,15 +178,15 @@
     let promised = p.copy.promised;
     super::feed::reseed(p, at.1, &map);
     p.copy = Copy { promised, epoch: at.0, rev: at.1, map };
-    adopt(p, now, epoch, out);
+    adopt(p, now, g, epoch, out);
 }
 
 /// Re-writes the adopted copy under our epoch. We serve once a majority,
 /// ourselves or not, has synced that.
-fn adopt(p: &mut Part, now: Tick, epoch: u64, out: &mut Vec<Command>) {
+fn adopt(p: &mut Part, now: Tick, g: Group, epoch: u64, out: &mut Vec<Command>) {
     p.copy.epoch = epoch;
     let rev = p.copy.rev;
-    p.role = Role::Owner(Box::new(owner::fresh(epoch, now)));
+    p.role = Role::Owner(Box::new(owner::fresh(g, epoch, now)));
     keep_whole(p, now, vec![After::OwnKept { epoch, rev }], out);
 }
 
@@ -185,7 +194,7 @@
 pub fn denied(
     p: &mut Part,
     now: Tick,
-    seat: Seat,
+    g: Group,
     epoch: u64,
     promised: u64,
     out: &mut Vec<Command>,
@@ -197,10 +206,10 @@
         // A seat promised a claim that never came to be. It would refuse us
         // for ever; if most still follow us we claim again above it.
         Role::Owner(o) if o.epoch == epoch => {
-            let live = owner::answering(o, seat, now);
+            let live = owner::answering(o, g, now);
             super::replica::resign(p, now, None, out);
             if live {
-                start_claim(p, now, next_epoch(promised.max(p.copy.promised), seat), out);
+                start_claim(p, now, g, next_epoch(promised.max(p.copy.promised), g.seat), out);
             }
         }
         _ => {}
--- a/crates/grebe/src/state/core.rs
+++ b/crates/grebe/src/state/core.rs
@@ -6,25 +6,37 @@
 
 use super::members::Members;
 use super::part::{Part, part};
-use crate::consts::{ROT_LOOK, SEATS};
+use crate::consts::ROT_LOOK;
 use crate::disk::rec::{Copy, Rec};
 use crate::luck::{Luck, luck};
 use crate::names::{PartId, Seat, parts};
+use crate::seats::roll::Roll;
+use crate::seats::seating::{Seating, seating};
+use crate::seats::table::{NOBODY, seat_of};
 use crate::time::Tick;
 use crate::wire::msg::{Deed, Done, Life, Msg};
 
 /// A wire to a member, as numbered by the daemon.
 pub type WireId = u64;
 
+/// Numbers of lent requests begin here, beyond those that the daemon gives.
+const LENT: u64 = 1 << 63;
+
 /// The owner of a controller's state.
 pub struct Core {
+    /// Ours by the table that we hold, or `NOBODY`.
     pub seat: Seat,
+    pub seating: Seating,
     pub parts: Vec<Part>,
     pub members: Members,
     /// Followers by wire: the place of each part up to which we sent.
     pub followers: IndexMap<WireId, BTreeMap<PartId, u64>>,
     /// Requests of our own operators that were handed over or wait.
     pub ops: IndexMap<u64, Op>,
+    /// Those of them that a controller without a seat handed to us: its wire,
+    /// and its own number for it.
+    pub lent: IndexMap<u64, (WireId, u64)>,
+    pub next_lent: u64,
     /// When the next part's files are read again, and which it is.
     pub look_at: Tick,
     pub look_next: usize,
@@ -65,10 +77,28 @@
 
 /// What happens to a controller.
 pub enum Event {
+    /// On a wire that `holder` opened as the holder of `seat`.
     FromSeat {
         seat: Seat,
+        holder: u64,
+        wire: WireId,
+        msg: Msg,
+    },
+    /// On a wire that we opened to a controller.
+    Answer {
         msg: Msg,
     },
+    /// Somebody opened a wire to us.
+    Opened {
+        wire: WireId,
+    },
+    /// The roll of this token is on disk.
+    Kept {
+        token: u64,
+    },
+    RollTrouble {
+        why: String,
+    },
     FromWire {
         wire: WireId,
         msg: Msg,
@@ -113,6 +143,18 @@
         wire: WireId,
         msg: Msg,
     },
+    /// To every controller that we know a way to.
+    ToAll {
+        msg: Msg,
+    },
+    /// The table of the seats or our place in it changed: see to the wires.
+    Seats,
+    /// Keep the roll; with `clear`, set all parts' files aside before.
+    Keep {
+        token: u64,
+        roll: Roll,
+        clear: bool,
+    },
     /// Append a record to the part's log and sync it.
     Append {
         part: PartId,
@@ -137,13 +179,15 @@
     Alarm(String),
 }
 
-/// Every other seat.
-pub fn others(seat: Seat) -> impl Iterator<Item = Seat> {
-    (0..SEATS as Seat).filter(move |s| *s != seat)
-}
-
 /// A controller that has read its disk. Parts not given are empty.
-pub fn core(seat: Seat, found: Vec<(PartId, Life, Copy, u64)>, seed: u64, now: Tick) -> Core {
+pub fn core(
+    roll: Roll,
+    here: (&str, &str),
+    found: Vec<(PartId, Life, Copy, u64)>,
+    seed: u64,
+    now: Tick,
+) -> Core {
+    let seat = seat_of(&roll.table, roll.me).unwrap_or(NOBODY);
     let mut found: BTreeMap<PartId, _> =
         found.into_iter().map(|(id, life, copy, len)| (id, (life, copy, len))).collect();
     let list = parts()
@@ -154,13 +198,16 @@
         .collect();
     Core {
         seat,
+        luck: luck(seed ^ roll.me),
+        seating: seating(roll, here, now),
         parts: list,
         members: Members::default(),
         followers: IndexMap::new(),
         ops: IndexMap::new(),
+        lent: IndexMap::new(),
+        next_lent: LENT,
         look_at: now + ROT_LOOK,
         look_next: 0,
-        luck: luck(seed ^ u64::from(seat)),
         counts: Counts::default(),
     }
 }
--- a/crates/grebe/src/state/feed.rs
+++ b/crates/grebe/src/state/feed.rs
@@ -77,14 +77,18 @@
 }
 
 /// A follower says where it stands.
-pub fn follow(core: &mut Core, wire: WireId, list: Vec<Place>, out: &mut Vec<Command>) {
+pub fn follow(core: &mut Core, wire: WireId, list: Vec<Place>, stamp: u64, out: &mut Vec<Command>) {
+    if stamp != core.seating.stamp {
+        crate::seats::seating::tell(core, wire, out);
+    }
     let known = core.followers.entry(wire).or_default();
     for place in list {
         known.insert(place.part, place.rev);
     }
+    let stamp = core.seating.stamp;
     let able = core.parts.iter().filter(|p| super::part::able(p));
     let places = able.map(|p| Place { part: p.id, rev: p.copy.rev }).collect();
-    out.push(Command::ToWire { wire, msg: Msg::Reach { places } });
+    out.push(Command::ToWire { wire, msg: Msg::Reach { places, stamp } });
     push(core, out);
 }
 
--- a/crates/grebe/src/state/leafs.rs
+++ b/crates/grebe/src/state/leafs.rs
@@ -10,7 +10,8 @@
 use super::part::{Part, owner};
 use crate::config::change::Entry;
 use crate::consts;
-use crate::names::{Seat, part_of};
+use crate::names::part_of;
+use crate::seats::table::Group;
 use crate::time::{MILLI, Tick, since};
 use crate::view::leafs::{LEAF, LeafInfo, key};
 use crate::wire::msg::Word;
@@ -32,7 +33,7 @@
 pub fn listed(
     p: &mut Part,
     now: Tick,
-    seat: Seat,
+    g: Group,
     fence: (u64, u64),
     list: Vec<LeafInfo>,
     counts: &mut Counts,
@@ -86,7 +87,7 @@
     }
     o.absent.retain(|name, _| known.contains_key(name));
     if !entries.is_empty() {
-        change(p, now, seat, entries, out);
+        change(p, now, g, entries, out);
     }
 }
 
@@ -94,7 +95,7 @@
 /// must be taken for new when all of us start again. What is written is what
 /// an identity has surely reached: how old it was when this owner first saw
 /// it, and how long ago that was.
-pub fn grow(p: &mut Part, now: Tick, seat: Seat, out: &mut Vec<Command>) {
+pub fn grow(p: &mut Part, now: Tick, g: Group, out: &mut Vec<Command>) {
     let Some(o) = owner(p) else { return };
     if !o.serves || now < o.ages_at {
         return;
@@ -117,12 +118,12 @@
         o.seen = seen;
     }
     if !entries.is_empty() {
-        change(p, now, seat, entries, out);
+        change(p, now, g, entries, out);
     }
 }
 
 /// Leafs spoke of themselves at first hand.
-pub fn words(p: &mut Part, now: Tick, seat: Seat, words: Vec<Word>, out: &mut Vec<Command>) {
+pub fn words(p: &mut Part, now: Tick, g: Group, words: Vec<Word>, out: &mut Vec<Command>) {
     if !owner(p).is_some_and(|o| o.serves) {
         return;
     }
@@ -142,6 +143,6 @@
         }
     }
     if !entries.is_empty() {
-        change(p, now, seat, entries, out);
+        change(p, now, g, entries, out);
     }
 }
--- a/crates/grebe/src/state/members.rs
+++ b/crates/grebe/src/state/members.rs
@@ -3,10 +3,12 @@
 
 use indexmap::IndexMap;
 
-use super::core::{Command, Core, WireId, others};
+use super::core::{Command, Core, WireId};
 use super::part::Role;
 use crate::consts;
 use crate::names::Seat;
+use crate::seats::seating::here;
+use crate::seats::table::others;
 use crate::time::{Tick, since};
 use crate::wire::msg::{Cohort, Member, Msg, Progress};
 
@@ -162,6 +164,7 @@
 /// Tells the configuration's owner what most members obey by now.
 pub fn obeyed(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
     let rev = most_obey(&core.members);
+    let g = here(core);
     let p = &mut core.parts[0];
     let head = p.copy.rev;
     if let Role::Owner(o) = &mut p.role
@@ -173,7 +176,7 @@
         && o.obeyed != rev
     {
         o.obeyed = rev;
-        super::owner::settle(p, now, out);
+        super::owner::settle(p, now, g, out);
     }
 }
 
@@ -199,7 +202,7 @@
 fn tell(core: &Core, out: &mut Vec<Command>) {
     let cohort = &core.members.cohort;
     if reign(core) == Some(cohort.epoch) {
-        for seat in others(core.seat) {
+        for seat in others(here(core)) {
             out.push(Command::ToSeat { seat, msg: Msg::Tell(cohort.clone()) });
         }
     }
--- a/crates/grebe/src/state/operate.rs
+++ b/crates/grebe/src/state/operate.rs
@@ -1,7 +1,7 @@
 //! Operators' requests: taken at any seat, carried out by the owner of the
 //! configuration, told when the outcome is known.
 
-use super::core::{Command, Core, Op};
+use super::core::{Command, Core, Op, WireId};
 use super::owner::{self, change, tell};
 use super::part::{OpFrom, Part, Reading, Role};
 use crate::config::change::{Entry, changes, config, patched};
@@ -10,6 +10,8 @@
 use crate::digest::digest;
 use crate::lang::finding::Finding;
 use crate::names::Seat;
+use crate::seats::seating::here;
+use crate::seats::table::{Group, NOBODY, others};
 use crate::time::Tick;
 use crate::wire::msg::{Deed, Done, Map, Msg};
 
@@ -24,10 +26,24 @@
 
 /// Hands a request to the owner, if one is known and it was not yet handed.
 fn hand(core: &mut Core, now: Tick, op: u64, out: &mut Vec<Command>) {
+    let here = here(core);
     let Some(ask) = core.ops.get_mut(&op) else { return };
     if ask.sent.is_some() {
         return;
     }
+    if core.seat == NOBODY {
+        // Any seat finds the owner; one that lives, by turns.
+        let s = &core.seating;
+        let awake = |k: &Seat| s.quiet[usize::from(*k)] < consts::APPLY_SILENCE;
+        let list: Vec<Seat> = others(here).filter(awake).collect();
+        if let Some(seat) = list.get(core.seating.turns % list.len().max(1)).copied() {
+            core.seating.turns += 1;
+            ask.sent = Some(seat);
+            let (request, expect, deed) = (ask.request.clone(), ask.expect, ask.deed.clone());
+            out.push(Command::ToSeat { seat, msg: Msg::Operate { op, request, expect, deed } });
+        }
+        return;
+    }
     let p = &mut core.parts[0];
     match &p.role {
         Role::Owner(o) if o.serves => {
@@ -119,8 +135,50 @@
     }
 }
 
-/// Requests handed to a seat that no longer owns the part are handed anew.
+/// A controller without a seat handed a request to us; it asks again elsewhere
+/// if we fail it.
+pub fn lent(
+    core: &mut Core,
+    now: Tick,
+    (wire, number): (WireId, u64),
+    (request, expect, deed): (String, Option<u64>, Deed),
+    out: &mut Vec<Command>,
+) {
+    core.next_lent += 1;
+    let op = core.next_lent;
+    core.lent.insert(op, (wire, number));
+    let until = now + consts::OPERATE_PATIENCE;
+    let ask = Op { request, expect, deed, sent: None, maybe: false, said: None, until };
+    operate(core, now, op, ask, out);
+}
+
+/// Gives outcomes of lent requests back on the wires that they came on.
+pub fn give_back(core: &mut Core, out: &mut [Command]) {
+    for command in out {
+        if let Command::Tell { op, done } = command
+            && let Some((wire, number)) = core.lent.swap_remove(op)
+        {
+            let msg = Msg::Operated { op: number, done: done.clone() };
+            *command = Command::ToWire { wire, msg };
+        }
+    }
+}
+
+/// Requests handed to a seat that no longer owns the part are handed anew; by
+/// a controller without a seat, those handed to one that has fallen silent.
 pub fn reconsider(core: &mut Core) {
+    if core.seat == NOBODY {
+        let quiet = &core.seating.quiet;
+        for ask in core.ops.values_mut() {
+            let silent =
+                |s: Seat| quiet.get(usize::from(s)).is_none_or(|q| *q >= consts::APPLY_SILENCE);
+            if ask.sent.is_some_and(silent) {
+                ask.maybe = true;
+                ask.sent = None;
+            }
+        }
+        return;
+    }
     let owner = match &core.parts[0].role {
         Role::Owner(_) => Some(core.seat),
         Role::Follower { owner, .. } => owner.map(|o| o.0),
@@ -162,7 +220,10 @@
                 out,
             );
         }
-        _ => carry_out(&mut core.parts[0], now, core.seat, from, ask, out),
+        _ => {
+            let g = here(core);
+            carry_out(&mut core.parts[0], now, g, from, ask, out);
+        }
     }
 }
 
@@ -176,13 +237,13 @@
 fn carry_out(
     p: &mut Part,
     now: Tick,
-    seat: Seat,
+    g: Group,
     from: OpFrom,
     (request, expect, deed): (String, Option<u64>, Deed),
     out: &mut Vec<Command>,
 ) {
     let (whole, text) = match &deed {
-        Deed::Read | Deed::Status | Deed::Forget(_) => return read_proved(p, now, from, out),
+        Deed::Read | Deed::Status | Deed::Forget(_) => return read_proved(p, now, g, from, out),
         Deed::Whole(text) => (true, text),
         Deed::Patch(text) => (false, text),
     };
@@ -198,7 +259,7 @@
             );
         }
         owner::wait(p, now, from, old.1, true);
-        return owner::settle(p, now, out);
+        return owner::settle(p, now, g, out);
     }
     if let Some(want) = expect
         && want != p.copy.rev
@@ -216,9 +277,9 @@
     let mut entries = entries;
     entries.extend(forgotten(&p.copy.map));
     entries.push((key, Some(format!("{mark} {rev}").into_bytes())));
-    change(p, now, seat, entries, out);
+    change(p, now, g, entries, out);
     owner::wait(p, now, from, rev, false);
-    owner::settle(p, now, out);
+    owner::settle(p, now, g, out);
 }
 
 /// The entries that a request changes, or all that is wrong with it.
@@ -249,11 +310,11 @@
 }
 
 /// A read is answered once a later round of beats proves we still own it.
-fn read_proved(p: &mut Part, now: Tick, from: OpFrom, out: &mut Vec<Command>) {
+fn read_proved(p: &mut Part, now: Tick, g: Group, from: OpFrom, out: &mut Vec<Command>) {
     if let Some(o) = super::part::owner(p) {
         o.beat_at = now;
         let until = now + consts::OPERATE_PATIENCE;
         o.reads.push(Reading { round: o.round + 1, op: from, until });
     }
-    owner::settle(p, now, out);
+    owner::settle(p, now, g, out);
 }
--- a/crates/grebe/src/state/owner.rs
+++ b/crates/grebe/src/state/owner.rs
@@ -2,29 +2,31 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::core::{Command, others};
+use super::core::Command;
 use super::part::{After, OpFrom, Owner, Part, Role, Waiting, owner};
 use super::replica::{keep, resign};
 use crate::config::change::Entry;
-use crate::consts::{self, MAJORITY, SEATS};
+use crate::consts;
 use crate::disk::rec::{Rec, apply};
 use crate::names::Seat;
+use crate::seats::table::{Group, majority, others};
 use crate::time::{Tick, since};
 use crate::wire::msg::{Done, Map, Msg};
 
 /// An owner that has adopted the newest copy and not yet re-written it.
-pub fn fresh(epoch: u64, now: Tick) -> Owner {
+pub fn fresh(g: Group, epoch: u64, now: Tick) -> Owner {
     Owner {
         epoch,
         since: now,
         serves: false,
-        kept: [None; SEATS],
+        kept: vec![None; g.size],
         done: 0,
-        whole_at: [None; SEATS],
+        whole_at: vec![None; g.size],
         round: 0,
+        base: 0,
         beat_at: now,
         rounds: VecDeque::new(),
-        answered: [(0, now); SEATS],
+        answered: vec![(0, now); g.size],
         obeyed: 0,
         behind: Vec::new(),
         waits: Vec::new(),
@@ -37,11 +39,11 @@
 }
 
 /// Whether a majority, with ourselves, answered our beats lately.
-pub fn answering(o: &Owner, seat: Seat, now: Tick) -> bool {
-    let live = others(seat)
+pub fn answering(o: &Owner, g: Group, now: Tick) -> bool {
+    let live = others(g)
         .filter(|s| since(o.answered[usize::from(*s)].1, now) < consts::OWNER_GRIP)
         .count();
-    live + 1 >= MAJORITY
+    live + 1 >= majority(g.size)
 }
 
 /// A checksum of a map, for the sweep.
@@ -55,12 +57,30 @@
     u64::from(hash.finalize()) << 1 | 1
 }
 
+/// The table of the seats changed: what was counted under the old one counts
+/// no more. Who is still there says with the next beat how far it is; only who
+/// is new needs the whole.
+pub fn moved(o: &mut Owner, now: Tick, g: Group, moved: &[bool]) {
+    for (s, moved) in moved.iter().enumerate() {
+        if s == usize::from(g.seat) {
+            continue;
+        }
+        o.kept[s] = None;
+        o.whole_at[s] = (!moved).then_some(now);
+        o.answered[s] = (0, if *moved { 0 } else { o.answered[s].1 });
+    }
+    // A round that began before must not prove anything now.
+    o.since = now;
+    o.rounds.clear();
+    o.base = o.round;
+}
+
 /// Time passes for the owner: beats, re-sending, patience with operators.
-pub fn wake(p: &mut Part, now: Tick, seat: Seat, out: &mut Vec<Command>) {
+pub fn wake(p: &mut Part, now: Tick, g: Group, out: &mut Vec<Command>) {
     let id = p.id;
     let (epoch, rev) = (p.copy.epoch, p.copy.rev);
     let Some(o) = owner(p) else { return };
-    if !answering(o, seat, now) {
+    if !answering(o, g, now) {
         out.push(Command::Alarm(format!("part {id}: no majority answers, ownership given up")));
         return resign(p, now, None, out);
     }
@@ -81,7 +101,7 @@
         beats = true;
     }
     let (round, done) = (o.round, o.done);
-    let lag: Vec<Seat> = others(seat)
+    let lag: Vec<Seat> = others(g)
         .filter(|s| {
             let s = usize::from(*s);
             // Asked for a whole copy too long ago, or never sent one at all.
@@ -91,7 +111,7 @@
         .collect();
     if beats {
         let sum = if sum_now == 1 { sum(&p.copy.map) } else { 0 };
-        for to in others(seat) {
+        for to in others(g) {
             let msg = Msg::Beat { part: id, epoch, round, done, sum };
             out.push(Command::ToSeat { seat: to, msg });
         }
@@ -99,8 +119,8 @@
     for to in lag {
         send_whole(p, now, to, out);
     }
-    super::leafs::grow(p, now, seat, out);
-    settle(p, now, out);
+    super::leafs::grow(p, now, g, out);
+    settle(p, now, g, out);
 }
 
 /// Sends the whole copy to a seat.
@@ -126,14 +146,14 @@
 pub fn beaten(
     p: &mut Part,
     now: Tick,
-    from: Seat,
+    (g, from): (Group, Seat),
     (epoch, round): (u64, u64),
-    rev: u64,
+    (rev, safe): (u64, u64),
     out: &mut Vec<Command>,
 ) {
     let id = p.id;
     let Role::Owner(o) = &mut p.role else { return };
-    if o.epoch != epoch || round > o.round {
+    if o.epoch != epoch || round > o.round || round <= o.base {
         return;
     }
     let (at, head) = o.rounds.iter().find(|r| r.0 == round).map_or((o.since, 0), |r| (r.1, r.2));
@@ -154,11 +174,21 @@
             lack(p, now, from, epoch, out);
         }
     }
-    settle(p, now, out);
+    if safe > 0 {
+        return kept(p, now, (g, from), epoch, safe, out);
+    }
+    settle(p, now, g, out);
 }
 
 /// A seat (or we ourselves) synced a revision of our epoch.
-pub fn kept(p: &mut Part, now: Tick, who: Seat, epoch: u64, rev: u64, out: &mut Vec<Command>) {
+pub fn kept(
+    p: &mut Part,
+    now: Tick,
+    (g, who): (Group, Seat),
+    epoch: u64,
+    rev: u64,
+    out: &mut Vec<Command>,
+) {
     let head = p.copy.rev;
     let Some(o) = owner(p) else { return };
     if o.epoch != epoch || rev > head {
@@ -168,8 +198,7 @@
     *cell = Some(cell.map_or(rev, |c| c.max(rev)));
     let mut all: Vec<u64> = o.kept.iter().flatten().copied().collect();
     all.sort_unstable_by(|a, b| b.cmp(a));
-    if all.len() >= MAJORITY {
-        let done = all[MAJORITY - 1];
+    if let Some(done) = all.get(majority(g.size) - 1).copied() {
         let first = !o.serves;
         o.serves = true;
         if first || done > o.done {
@@ -177,18 +206,18 @@
             super::feed::show(p, done);
         }
     }
-    settle(p, now, out);
+    settle(p, now, g, out);
 }
 
 /// Changes the part. The caller has checked that we serve.
-pub fn change(p: &mut Part, now: Tick, seat: Seat, entries: Vec<Entry>, out: &mut Vec<Command>) {
+pub fn change(p: &mut Part, now: Tick, g: Group, entries: Vec<Entry>, out: &mut Vec<Command>) {
     let (epoch, rev) = (p.copy.epoch, p.copy.rev + 1);
     let rec = Rec::Change { epoch, rev, entries: entries.clone() };
     if !apply(&mut p.copy, &rec) {
         return;
     }
     p.changes.push_back((rev, entries.clone()));
-    for to in others(seat) {
+    for to in others(g) {
         let msg = Msg::Change { part: p.id, epoch, rev, entries: entries.clone() };
         out.push(Command::ToSeat { seat: to, msg });
     }
@@ -204,10 +233,10 @@
 }
 
 /// Tells those operators whose outcome is known.
-pub fn settle(p: &mut Part, now: Tick, out: &mut Vec<Command>) {
+pub fn settle(p: &mut Part, now: Tick, g: Group, out: &mut Vec<Command>) {
     let (rev, map) = (p.shown_rev, &p.shown);
     let Role::Owner(o) = &mut p.role else { return };
-    let (done, kept) = (o.done.min(o.obeyed), o.kept);
+    let (done, kept) = (o.done.min(o.obeyed), o.kept.clone());
     let synced = o.done;
     let behind = o.behind.clone();
     let copies = |rev: u64| kept.iter().flatten().filter(|k| **k >= rev).count() as u32;
@@ -215,7 +244,7 @@
         if w.rev <= done {
             let at = *w.done_at.get_or_insert(now);
             let n = copies(w.rev);
-            if n < SEATS as u32 && since(at, now) < consts::THIRD_WAIT {
+            if n < g.taken.count_ones() && since(at, now) < consts::THIRD_WAIT {
                 return true;
             }
             let done = Done::Accepted { revision: w.rev, copies: n, again: w.again };
@@ -233,7 +262,13 @@
         }
         true
     });
-    let proved = o.answered.iter().map(|a| a.0).max().unwrap_or(0);
+    let mut rounds: Vec<u64> = others(g).map(|s| o.answered[usize::from(s)].0).collect();
+    rounds.sort_unstable_by(|a, b| b.cmp(a));
+    // With ourselves a majority has answered this round.
+    let proved = match majority(g.size) {
+        1 => o.round,
+        n => rounds.get(n - 2).copied().unwrap_or(0),
+    };
     let serves = o.serves;
     o.reads.retain(|r| {
         if serves && proved >= r.round {
@@ -261,7 +296,7 @@
 pub fn dismiss(_p: &Part, old: Owner, out: &mut Vec<Command>) {
     for w in old.waits {
         let done = if w.rev <= old.done.min(old.obeyed) {
-            let copies = MAJORITY as u32;
+            let copies = majority(old.kept.len()) as u32;
             Done::Accepted { revision: w.rev, copies, again: w.again }
         } else {
             Done::Unknown { why: "the owner changed while the change was on its way".into() }
--- a/crates/grebe/src/state/part.rs
+++ b/crates/grebe/src/state/part.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::config::change::Entry;
-use crate::consts::SEATS;
 use crate::disk::rec::Copy;
 use crate::names::{PartId, Seat};
 use crate::time::Tick;
@@ -71,7 +70,7 @@
     /// Asks whether a claim would be granted; changes nothing anywhere.
     Sounding {
         epoch: u64,
-        yes: [bool; SEATS],
+        yes: Vec<bool>,
         until: Tick,
     },
     Claiming(Claim),
@@ -82,7 +81,7 @@
 pub struct Claim {
     pub epoch: u64,
     /// (epoch, revision) of the copy of each seat that granted.
-    pub grants: [Option<(u64, u64)>; SEATS],
+    pub grants: Vec<Option<(u64, u64)>>,
     /// The seat whose newer copy is being fetched.
     pub fetch: Option<Seat>,
     pub until: Tick,
@@ -98,16 +97,18 @@
     pub since: Tick,
     pub serves: bool,
     /// Highest revision of this epoch that each seat has synced.
-    pub kept: [Option<u64>; SEATS],
+    pub kept: Vec<Option<u64>>,
     pub done: u64,
     /// Whether a whole copy is on its way to a seat, and since when.
-    pub whole_at: [Option<Tick>; SEATS],
+    pub whole_at: Vec<Option<Tick>>,
     pub round: u64,
+    /// Rounds up to this one count no more: the seats have changed since.
+    pub base: u64,
     pub beat_at: Tick,
     /// Rounds of beats: number, begin, and our revision then.
     pub rounds: VecDeque<(u64, Tick, u64)>,
     /// The last round each seat answered, and when that round began.
-    pub answered: [(u64, Tick); SEATS],
+    pub answered: Vec<(u64, Tick)>,
     /// Revision that most members obey; a change counts as accepted only up to
     /// here. Then any majority of members that is cut off from us together
     /// holds it too, and its members hand it on to each other.
@@ -159,7 +160,7 @@
     /// An operator vouches that what the others lost is lost for good.
     pub vouched: bool,
     pub ask_at: Tick,
-    pub stands: [Option<Stand>; SEATS],
+    pub stands: Vec<Option<Stand>>,
     pub fetch: Option<Seat>,
 }
 
--- a/crates/grebe/src/state/relearn.rs
+++ b/crates/grebe/src/state/relearn.rs
@@ -1,20 +1,22 @@
 //! How a replica that has nothing, or nothing it can trust, comes to vote.
 //!
-//! It asks the two others. If all three have never held anything this is a
-//! first boot, and it begins with an empty copy. If both others are formed
-//! it takes the newest copy and the highest promise of the two: any value
-//! that it helped to accept in a former life was synced by one of them too.
-//! In any other case (two disks lost) it waits, and says so, until an operator
-//! vouches that the lost copies are lost for good. What only they held is gone
-//! then: an operator decides that, never the system.
+//! It asks the others. If none of the fleet's first holders has ever held
+//! anything this is a first boot, and it begins with an empty copy. If a
+//! majority of all seats, its own not counted, is formed and holds the table of
+//! the seats that we hold, it takes the newest copy and the highest promise of
+//! those: any value that its seat helped to accept was synced by one of them
+//! too (`crate::seats`). In any other case (too many disks lost) it waits, and
+//! says so, until an operator vouches that the lost copies are lost for good.
+//! What only they held is gone then: an operator decides that, never the system.
 
-use super::core::{Command, others};
+use super::core::Command;
 use super::part::{After, Part, Stand};
 use super::replica::keep_whole;
-use crate::consts::{self, SEATS};
+use crate::consts;
 use crate::disk::rec::Copy;
 use crate::luck::{Luck, draw};
 use crate::names::Seat;
+use crate::seats::table::{Group, majority, others};
 use crate::time::Tick;
 use crate::wire::msg::{Life, Map, Msg};
 
@@ -22,23 +24,24 @@
 const LOUD_AFTER: u64 = 40;
 
 /// Time passes for a replica that is not formed.
-pub fn wake(p: &mut Part, now: Tick, seat: Seat, luck: &mut Luck, out: &mut Vec<Command>) {
+pub fn wake(p: &mut Part, now: Tick, g: Group, luck: &mut Luck, out: &mut Vec<Command>) {
     if p.life == Life::Formed || now < p.relearn.ask_at || !p.writes.is_empty() {
         return;
     }
     let r = &mut p.relearn;
-    if r.stands.iter().flatten().count() == SEATS - 1 {
+    if answered(g, &r.stands) && g.size > 1 {
         r.rounds += 1;
         if r.rounds.is_multiple_of(LOUD_AFTER) {
             let text = format!(
-                "part {}: this replica can't relearn, since another is {}; if two disks are \
-                 lost, see the handbook on restoring",
+                "part {}: this replica can't relearn, since another is {}; if {} disks are lost, \
+                 see the handbook on restoring",
                 p.id,
                 if r.stands.iter().flatten().any(|s| s.life == Life::Damaged) {
                     "damaged"
                 } else {
                     "empty"
-                }
+                },
+                if g.size == 3 { "two" } else { "too many" }
             );
             out.push(Command::Alarm(text));
         }
@@ -46,12 +49,34 @@
     // A fresh nonce: only answers to this life and this round count.
     r.nonce = draw(luck);
     r.ask_at = now + consts::ASK_AROUND;
-    r.stands = [None; SEATS];
+    r.stands = vec![None; g.size];
     r.fetch = None;
-    for to in others(seat) {
+    for to in others(g) {
         let msg = Msg::AskStand { part: p.id, nonce: r.nonce };
         out.push(Command::ToSeat { seat: to, msg });
     }
+    consider(p, now, g, out);
+}
+
+/// Whether all others have answered.
+fn answered(g: Group, stands: &[Option<Stand>]) -> bool {
+    others(g).all(|s| stands.get(usize::from(s)).is_some_and(Option::is_some))
+}
+
+/// Whether this is the fleet's first boot: nobody who answered holds anything,
+/// and all that have their seats from the beginning did answer. They must be a
+/// majority still, or what was accepted since might be held by others alone.
+fn first_boot(g: Group, stands: &[Option<Stand>]) -> bool {
+    let bare = |s: &Stand| {
+        s.life == Life::Empty
+            || (s.life == Life::Formed && s.epoch == 0 && s.rev == 0 && s.promised == 0)
+    };
+    let first = |s: &Seat| g.firsts >> *s & 1 == 1;
+    g.first
+        && first(&g.seat)
+        && g.firsts.count_ones() as usize >= majority(g.size)
+        && stands.iter().flatten().all(bare)
+        && others(g).filter(first).all(|s| stands[usize::from(s)].is_some())
 }
 
 /// Another replica asks how we stand.
@@ -60,7 +85,7 @@
         return;
     }
     let (promised, epoch, rev) = (p.copy.promised, p.copy.epoch, p.copy.rev);
-    let msg = Msg::Stand { part: p.id, nonce, life: p.life, promised, epoch, rev };
+    let msg = Msg::Stand { part: p.id, nonce, life: p.life, promised, epoch, rev, stamp: 0 };
     out.push(Command::ToSeat { seat: from, msg });
 }
 
@@ -75,30 +100,39 @@
 }
 
 /// An answer to our asking.
-pub fn stood(p: &mut Part, now: Tick, from: Seat, nonce: u64, s: Stand, out: &mut Vec<Command>) {
+pub fn stood(
+    p: &mut Part,
+    now: Tick,
+    (g, from): (Group, Seat),
+    nonce: u64,
+    s: Stand,
+    out: &mut Vec<Command>,
+) {
     if p.life == Life::Formed || nonce != p.relearn.nonce || !p.writes.is_empty() {
         return;
     }
-    p.relearn.stands[usize::from(from)] = Some(s);
-    let all: Vec<(usize, Stand)> =
-        p.relearn.stands.iter().enumerate().filter_map(|(i, s)| s.map(|s| (i, s))).collect();
-    if all.len() < SEATS - 1 || p.relearn.fetch.is_some() {
+    let Some(cell) = p.relearn.stands.get_mut(usize::from(from)) else { return };
+    *cell = Some(s);
+    consider(p, now, g, out);
+}
+
+/// Goes on once enough have answered.
+fn consider(p: &mut Part, now: Tick, g: Group, out: &mut Vec<Command>) {
+    let stands = &p.relearn.stands;
+    if p.relearn.fetch.is_some() || stands.len() != g.size {
         return;
     }
-    let bare = |s: &Stand| {
-        s.life == Life::Empty
-            || (s.life == Life::Formed && s.epoch == 0 && s.rev == 0 && s.promised == 0)
-    };
-    if p.life == Life::Empty && all.iter().all(|(_, s)| bare(s)) {
-        p.copy = Copy::default();
-        return keep_whole(p, now, vec![After::Formed], out);
-    }
-    if p.relearn.vouched && all.iter().all(|(_, s)| s.life != Life::Formed) {
+    let formed: Vec<(usize, Stand)> = stands
+        .iter()
+        .enumerate()
+        .filter_map(|(i, s)| s.filter(|s| s.life == Life::Formed).map(|s| (i, s)))
+        .collect();
+    let vouched = p.relearn.vouched && answered(g, stands);
+    if (p.life == Life::Empty && first_boot(g, stands)) || (vouched && formed.is_empty()) {
         p.copy = Copy::default();
         return keep_whole(p, now, vec![After::Formed], out);
     }
-    let formed: Vec<_> = all.into_iter().filter(|(_, s)| s.life == Life::Formed).collect();
-    if formed.len() == SEATS - 1 || (p.relearn.vouched && !formed.is_empty()) {
+    if formed.len() >= majority(g.size) || vouched {
         let best = formed.iter().max_by_key(|(_, s)| (s.epoch, s.rev));
         if let Some((seat, _)) = best {
             let nonce = p.relearn.nonce;
--- a/crates/grebe/src/state/replica.rs
+++ b/crates/grebe/src/state/replica.rs
@@ -5,6 +5,7 @@
 use crate::consts;
 use crate::disk::rec::{Copy, Rec, apply};
 use crate::names::Seat;
+use crate::seats::table::Group;
 use crate::time::{Tick, since};
 use crate::wire::msg::{Map, Msg};
 
@@ -80,7 +81,7 @@
     }
     follow(p, now, None);
     apply(&mut p.copy, &Rec::Promise { epoch });
-    let msg = Msg::Grant { part: p.id, epoch, at_epoch: p.copy.epoch, rev: p.copy.rev };
+    let msg = Msg::Grant { part: p.id, epoch, at_epoch: p.copy.epoch, rev: p.copy.rev, stamp: 0 };
     keep(p, now, Rec::Promise { epoch }, vec![After::Send(from, msg)], out);
 }
 
@@ -143,7 +144,7 @@
     if !obey(p, now, from, epoch, out) {
         return;
     }
-    let kept = Msg::Kept { part: p.id, epoch, rev };
+    let kept = Msg::Kept { part: p.id, epoch, rev, stamp: 0 };
     if p.copy.epoch == epoch && p.copy.rev >= rev && !p.doubt {
         return after_writes(p, from, kept, out);
     }
@@ -162,7 +163,7 @@
         return;
     }
     if p.copy.epoch == epoch && p.copy.rev >= rev {
-        let kept = Msg::Kept { part: p.id, epoch, rev: p.copy.rev };
+        let kept = Msg::Kept { part: p.id, epoch, rev: p.copy.rev, stamp: 0 };
         return after_writes(p, from, kept, out);
     }
     if !apply(&mut p.copy, &rec) {
@@ -172,7 +173,7 @@
     if let Rec::Change { entries, .. } = &rec {
         p.changes.push_back((rev, entries.clone()));
     }
-    let kept = Msg::Kept { part: p.id, epoch, rev };
+    let kept = Msg::Kept { part: p.id, epoch, rev, stamp: 0 };
     keep(p, now, rec, vec![After::Send(from, kept)], out);
 }
 
@@ -199,10 +200,31 @@
     if !same || p.doubt {
         out.push(Command::ToSeat { seat: from, msg: Msg::Lack { part: p.id, epoch } });
     }
-    // Says only that we obey this epoch and how far our memory is; that a
-    // revision is safe on disk is said by `Kept` alone.
+    // How far our memory is, and how far our disk: with nothing on its way
+    // there they are one. A `Kept` may have been lost, or said under a table of
+    // the seats that is no more.
     let rev = if same { p.copy.rev } else { 0 };
-    out.push(Command::ToSeat { seat: from, msg: Msg::Beaten { part: p.id, epoch, round, rev } });
+    let kept = if p.writes.is_empty() && !p.doubt { rev } else { 0 };
+    let msg = Msg::Beaten { part: p.id, epoch, round, rev, kept, stamp: 0 };
+    out.push(Command::ToSeat { seat: from, msg });
+}
+
+/// The table of the seats changed: whatever is counted is counted anew.
+pub fn moved(p: &mut Part, now: Tick, g: Group, moved: &[bool], out: &mut Vec<Command>) {
+    let r = &mut p.relearn;
+    (r.stands, r.fetch) = (Vec::new(), None);
+    // Answers that are under way were asked for under the old table.
+    r.nonce = r.nonce.wrapping_add(1);
+    r.ask_at = r.ask_at.min(now + consts::ASK_AROUND);
+    let gone = |s: Seat| moved.get(usize::from(s)).is_some_and(|m| *m);
+    match &mut p.role {
+        Role::Owner(o) if o.kept.len() == g.size => super::owner::moved(o, now, g, moved),
+        Role::Owner(_) => resign(p, now, None, out),
+        Role::Follower { owner, .. } => *owner = owner.filter(|(seat, _)| !gone(*seat)),
+        Role::Sounding { .. } | Role::Claiming(_) => {
+            follow(p, now, None);
+        }
+    }
 }
 
 /// Whether the disk has been at one write for too long.
--- a/crates/grebe/src/state/step.rs
+++ b/crates/grebe/src/state/step.rs
@@ -1,11 +1,14 @@
 //! `step` of the controller's owner.
 
-use super::core::{Command, Core, Event, Op};
+use super::core::{Command, Core, Event, Op, WireId};
 use super::part::{After, OpFrom, Role, Stand, able};
 use super::{claim, feed, leafs, members, operate, owner, relearn, replica};
 use crate::consts;
 use crate::disk::rec::Rec;
 use crate::names::{PartId, Seat};
+use crate::seats::apply;
+use crate::seats::seating::{self, here};
+use crate::seats::table::NOBODY;
 use crate::time::{Tick, ms};
 use crate::wire::msg::{Life, Msg};
 
@@ -16,10 +19,23 @@
 pub fn step(core: &mut Core, now: Tick, event: Event) -> Vec<Command> {
     let mut out = Vec::new();
     match event {
-        Event::FromSeat { seat, msg } => from_seat(core, now, seat, msg, &mut out),
+        Event::FromSeat { seat, holder, wire, msg } => {
+            if heard(core, now, (seat, holder), wire, &msg, &mut out) {
+                from_seat(core, now, seat, msg, &mut out);
+            }
+        }
+        Event::Answer { msg } => answer(core, now, msg, &mut out),
+        Event::Opened { wire } => {
+            core.seating.wires.insert(wire);
+            seating::tell(core, wire, &mut out);
+        }
+        Event::Kept { token } => seating::kept(core, now, token, &mut out),
+        Event::RollTrouble { why } => seating::trouble(core, now, &why, &mut out),
         Event::FromWire { wire, msg } => from_wire(core, now, wire, msg, &mut out),
         Event::WireGone { wire } => {
             core.followers.swap_remove(&wire);
+            core.seating.wires.swap_remove(&wire);
+            core.lent.retain(|_, (w, _)| *w != wire);
             core.members.wires.retain(|_, w| *w != wire);
         }
         Event::Synced { part, token } => synced(core, now, part, token, &mut out),
@@ -64,23 +80,26 @@
         }
         i += 1;
     }
+    operate::give_back(core, &mut out);
     feed::push(core, &mut out);
+    seating::mark(core, now, &mut out);
     out
 }
 
 fn wake(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
-    let seat = core.seat;
-    for p in &mut core.parts {
+    seating::wake(core, now, out);
+    let g = here(core);
+    for p in core.parts.iter_mut().filter(|_| core.seat != NOBODY) {
         if p.sick.is_some() {
             mend(p, now, out);
         } else if replica::stalled(p, now) {
             replica::step_back(p, now, "the disk stalls".into(), out);
         }
-        relearn::wake(p, now, seat, &mut core.luck, out);
+        relearn::wake(p, now, g, &mut core.luck, out);
         let was = matches!(p.role, Role::Claiming(_));
         match &p.role {
-            Role::Owner(_) => owner::wake(p, now, seat, out),
-            _ => claim::wake(p, now, seat, &mut core.luck, out),
+            Role::Owner(_) => owner::wake(p, now, g, out),
+            _ => claim::wake(p, now, g, &mut core.luck, out),
         }
         core.counts.claims += u64::from(!was && matches!(p.role, Role::Claiming(_)));
     }
@@ -117,15 +136,15 @@
 }
 
 fn synced(core: &mut Core, now: Tick, part: PartId, token: u64, out: &mut Vec<Command>) {
-    let seat = core.seat;
+    let g = here(core);
     let p = &mut core.parts[part.0 as usize];
     while p.writes.front().is_some_and(|w| w.token <= token) {
         let Some(write) = p.writes.pop_front() else { break };
         for after in write.after {
             match after {
                 After::Send(to, msg) => out.push(Command::ToSeat { seat: to, msg }),
-                After::OwnKept { epoch, rev } => owner::kept(p, now, seat, epoch, rev, out),
-                After::OwnPromise { epoch } => claim::own_promise(p, seat, epoch, out),
+                After::OwnKept { epoch, rev } => owner::kept(p, now, (g, g.seat), epoch, rev, out),
+                After::OwnPromise { epoch } => claim::own_promise(p, now, g, epoch, out),
                 After::Formed => relearn::formed(p, now, out),
             }
         }
@@ -138,8 +157,45 @@
     }
 }
 
+/// Whether what a seat's holder says counts: only if our table names it so,
+/// and a vote only if its own table is the same.
+fn heard(
+    core: &mut Core,
+    now: Tick,
+    (seat, holder): (Seat, u64),
+    wire: WireId,
+    msg: &Msg,
+    out: &mut Vec<Command>,
+) -> bool {
+    if let Msg::Seats { table, .. } = msg {
+        seating::learn(core, now, table, out);
+    }
+    if !seating::holds(&core.seating, seat, holder) {
+        seating::tell_again(core, now, seat, wire, out);
+        return false;
+    }
+    core.seating.quiet[usize::from(seat)] = 0;
+    let same = seating::stamp_of(msg).is_none_or(|stamp| stamp == core.seating.stamp);
+    if !same {
+        seating::tell_again(core, now, seat, wire, out);
+    }
+    same && core.seat != NOBODY
+}
+
+/// A controller answers on a wire that we opened.
+fn answer(core: &mut Core, now: Tick, msg: Msg, out: &mut Vec<Command>) {
+    match msg {
+        Msg::Seats { me, table } => seating::answered(core, now, me, &table, out),
+        Msg::Offer { seat, stamp, free } => {
+            apply::offered(core, now, (seat, stamp), free, out);
+        }
+        Msg::Operated { op, done } => operate::operated(core, now, op, done, out),
+        _ => {}
+    }
+}
+
 fn from_seat(core: &mut Core, now: Tick, from: Seat, msg: Msg, out: &mut Vec<Command>) {
-    let seat = core.seat;
+    let g = here(core);
     if let Some(id) = part_named(&msg) {
         let Some(p) = core.parts.get_mut(id.0 as usize) else { return };
         let owned = matches!(p.role, Role::Owner(_));
@@ -147,26 +203,26 @@
             Msg::AskStand { nonce, .. } => relearn::stand(p, from, nonce, out),
             Msg::Stand { nonce, life, promised, epoch, rev, .. } => {
                 let s = Stand { life, promised, epoch, rev };
-                relearn::stood(p, now, from, nonce, s, out);
+                relearn::stood(p, now, (g, from), nonce, s, out);
             }
             Msg::AskWhole { nonce, .. } => relearn::give(p, from, nonce, out),
             Msg::GiveWhole { nonce, promised, epoch, rev, map, .. } if able(p) => {
                 let _ = promised;
-                claim::fetched(p, now, from, nonce, (epoch, rev), map, out);
+                claim::fetched(p, now, (g, from), nonce, (epoch, rev), map, out);
             }
             Msg::GiveWhole { nonce, promised, epoch, rev, map, .. } => {
                 relearn::fetched(p, now, from, nonce, (promised, (epoch, rev)), map, out);
             }
             Msg::Sound { epoch, .. } => replica::sound(p, now, from, epoch, out),
             Msg::Sounded { epoch, yes, promised, .. } => {
-                claim::sounded(p, now, (seat, from), epoch, (yes, promised), out);
+                claim::sounded(p, now, (g, from), epoch, (yes, promised), out);
             }
             Msg::Claim { epoch, .. } => replica::claim(p, now, from, epoch, out),
             Msg::Grant { epoch, at_epoch, rev, .. } => {
-                claim::granted(p, now, (seat, from), epoch, (at_epoch, rev), out);
+                claim::granted(p, now, (g, from), epoch, (at_epoch, rev), out);
             }
             Msg::Deny { epoch, promised, .. } => {
-                claim::denied(p, now, seat, epoch, promised, out);
+                claim::denied(p, now, g, epoch, promised, out);
             }
             Msg::Whole { epoch, rev, map, .. } => {
                 replica::whole(p, now, from, (epoch, rev), map, out);
@@ -174,7 +230,7 @@
             Msg::Change { epoch, rev, entries, .. } => {
                 replica::change(p, now, from, Rec::Change { epoch, rev, entries }, out);
             }
-            Msg::Kept { epoch, rev, .. } => owner::kept(p, now, from, epoch, rev, out),
+            Msg::Kept { epoch, rev, .. } => owner::kept(p, now, (g, from), epoch, rev, out),
             Msg::Lack { epoch, .. } => {
                 core.counts.swept += 1;
                 owner::lack(p, now, from, epoch, out);
@@ -182,8 +238,8 @@
             Msg::Beat { epoch, round, done, sum, .. } => {
                 replica::beat(p, now, from, (epoch, round), (done, sum), out);
             }
-            Msg::Beaten { epoch, round, rev, .. } => {
-                owner::beaten(p, now, from, (epoch, round), rev, out);
+            Msg::Beaten { epoch, round, rev, kept, .. } => {
+                owner::beaten(p, now, (g, from), (epoch, round), (rev, kept), out);
             }
             _ => {}
         }
@@ -230,22 +286,30 @@
 
 fn from_wire(core: &mut Core, now: Tick, wire: u64, msg: Msg, out: &mut Vec<Command>) {
     match msg {
-        Msg::Follow { places } => {
+        Msg::Follow { places, stamp } => {
             if !core.followers.contains_key(&wire) {
                 members::greet(core, wire, out);
             }
-            feed::follow(core, wire, places, out);
+            feed::follow(core, wire, places, stamp, out);
         }
         Msg::Renew { member, count, far } => {
             members::renew(core, now, None, Some(wire), (member, count, far), out);
         }
+        Msg::Seats { table, .. } => seating::learn(core, now, &table, out),
+        Msg::Apply { holder, addr, zone, stamp } => {
+            apply::asked(core, now, wire, (holder, &addr, &zone), stamp, out);
+        }
+        Msg::Take { seat, holding } => apply::taken(core, now, seat, holding, out),
+        Msg::Operate { op, request, expect, deed } if core.seat != NOBODY => {
+            operate::lent(core, now, (wire, op), (request, expect, deed), out);
+        }
         msg => report(core, now, msg, true, out),
     }
 }
 
 /// Reports about leafs go to the owner of their part, handed over once.
 fn report(core: &mut Core, now: Tick, msg: Msg, fresh: bool, out: &mut Vec<Command>) {
-    let seat = core.seat;
+    let g = here(core);
     let id = match &msg {
         Msg::Listed { part, .. } | Msg::Words { part, .. } => *part,
         _ => return,
@@ -254,9 +318,9 @@
     match &p.role {
         Role::Owner(_) => match msg {
             Msg::Listed { fence, leafs, .. } => {
-                leafs::listed(p, now, seat, fence, leafs, &mut core.counts, out);
+                leafs::listed(p, now, g, fence, leafs, &mut core.counts, out);
             }
-            Msg::Words { words, .. } => leafs::words(p, now, seat, words, out),
+            Msg::Words { words, .. } => leafs::words(p, now, g, words, out),
             _ => {}
         },
         Role::Follower { owner: Some((to, _)), .. } if fresh => {
--- a/crates/grebe/src/wire/msg.rs
+++ b/crates/grebe/src/wire/msg.rs
@@ -6,12 +6,16 @@
 
 use crate::config::change::Entry;
 use crate::names::{PartId, Seat};
+use crate::seats::table::{Holding, Table};
 use crate::view::leafs::LeafInfo;
 
 /// Who opened a wire. Sent first on each.
 #[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
 pub enum Who {
-    Seat(Seat),
+    /// A seat's holder; what it says counts only where the table names it so.
+    Seat { seat: Seat, holder: u64 },
+    /// A controller that has no seat.
+    Spare { holder: u64 },
     /// A member by name.
     Member(String),
 }
@@ -110,14 +114,44 @@
 
 #[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
 pub enum Msg {
-    /// `fleet` is a hash of the seeds: an address may be reused by another
+    /// `fleet` is a hash of its name: an address may be reused by another
     /// fleet, and its words must not be taken for ours.
     Hello {
         who: Who,
         fleet: u64,
     },
 
-    // ---- replica groups, between seats ----
+    // ---- seats ----
+    /// The table of the seats, and who tells it: first on each wire that
+    /// somebody opened to a controller, and whenever it changes.
+    Seats {
+        me: u64,
+        table: Table,
+    },
+    /// A seat lives; said where nothing else shows it.
+    Here {
+        stamp: u64,
+    },
+    /// Which seat would you give me?
+    Apply {
+        holder: u64,
+        addr: String,
+        zone: String,
+        stamp: u64,
+    },
+    Offer {
+        seat: Seat,
+        stamp: u64,
+        free: Vec<Seat>,
+    },
+    /// Give me this one.
+    Take {
+        seat: Seat,
+        holding: Holding,
+    },
+
+    // ---- replica groups, between seats; `stamp` is that of the sender's table,
+    // and the message counts only under equal ones ----
     /// How do you stand? Asked by replicas that have nothing.
     AskStand {
         part: PartId,
@@ -130,6 +164,7 @@
         promised: u64,
         epoch: u64,
         rev: u64,
+        stamp: u64,
     },
     AskWhole {
         part: PartId,
@@ -163,6 +198,7 @@
         epoch: u64,
         at_epoch: u64,
         rev: u64,
+        stamp: u64,
     },
     /// Refused, because this higher epoch was promised.
     Deny {
@@ -187,6 +223,7 @@
         part: PartId,
         epoch: u64,
         rev: u64,
+        stamp: u64,
     },
     /// Can't follow: send the whole.
     Lack {
@@ -205,12 +242,17 @@
         epoch: u64,
         round: u64,
         rev: u64,
+        /// Synced up to here; zero: nothing of this epoch.
+        kept: u64,
+        stamp: u64,
     },
 
     // ---- the feed ----
     /// Where the follower stands in each part; also asks for what is newer.
+    /// `stamp` is that of its table of the seats.
     Follow {
         places: Vec<Place>,
+        stamp: u64,
     },
     /// `from` is the place it continues; a snapshot has none.
     News {
@@ -222,6 +264,7 @@
     /// How far a seat has accepted each part of which it can say so.
     Reach {
         places: Vec<Place>,
+        stamp: u64,
     },
 
     // ---- members ----
--- a/crates/grebe/tests/wire.rs
+++ b/crates/grebe/tests/wire.rs
@@ -12,7 +12,7 @@
 }
 
 fn small(rev: u64) -> Msg {
-    Msg::Follow { places: vec![Place { part: PartId(0), rev }] }
+    Msg::Follow { places: vec![Place { part: PartId(0), rev }], stamp: 0 }
 }
 
 fn feed(g: &mut Gather, piece: &[u8]) -> std::result::Result<Option<Msg>, FrameTrouble> {
--- a/crates/programs/src/controller/disk.rs
+++ b/crates/programs/src/controller/disk.rs
@@ -1,10 +1,13 @@
 //! The disk thread: writes in order, syncs what came together at once.
 
 use std::collections::BTreeMap;
+use std::io::Error;
+use std::path::Path;
 use std::sync::mpsc::Receiver;
 
 use grebe::disk::rec::{Copy, Rec};
 use grebe::names::PartId;
+use grebe::seats::roll::Roll;
 use grebe::state::core::Event;
 use runtime::disk::{self, Store};
 use tokio::sync::mpsc::UnboundedSender;
@@ -13,9 +16,25 @@
 
 /// What the disk is asked to do.
 pub enum Job {
-    Append { part: PartId, token: u64, rec: Rec },
-    Slot { part: PartId, token: u64, copy: Copy },
-    Look { part: PartId },
+    Append {
+        part: PartId,
+        token: u64,
+        rec: Rec,
+    },
+    Slot {
+        part: PartId,
+        token: u64,
+        copy: Copy,
+    },
+    Look {
+        part: PartId,
+    },
+    /// With `clear`, all parts' files are set aside before.
+    Keep {
+        token: u64,
+        roll: Roll,
+        clear: bool,
+    },
 }
 
 /// How a part fared in one batch.
@@ -27,17 +46,27 @@
 }
 
 /// Serves until the owner is gone.
-pub fn serve(mut stores: Vec<Store>, jobs: Receiver<Job>, events: UnboundedSender<Input>) {
+pub fn serve(
+    data: &Path,
+    mut stores: Vec<Store>,
+    jobs: Receiver<Job>,
+    events: UnboundedSender<Input>,
+) {
     while let Ok(first) = jobs.recv() {
         let mut batch = vec![first];
-        while let Ok(job) = jobs.try_recv() {
+        // A roll ends a batch: it may set aside what came before.
+        while !matches!(batch.last(), Some(Job::Keep { .. }))
+            && let Ok(job) = jobs.try_recv()
+        {
             batch.push(job);
         }
         let mut fates: BTreeMap<PartId, Fate> = BTreeMap::new();
         let mut looks: Vec<PartId> = Vec::new();
+        let mut roll = None;
         for job in batch {
             match job {
                 Job::Look { part } => looks.push(part),
+                Job::Keep { token, roll: new, clear } => roll = Some((token, new, clear)),
                 job => one(&mut stores, job, &mut fates),
             }
         }
@@ -56,6 +85,13 @@
                 return;
             }
         }
+        if let Some((token, roll, clear)) = roll {
+            let event = match keep(data, &mut stores, &roll, clear) {
+                Ok(()) => Event::Kept { token },
+                Err(e) => Event::RollTrouble { why: e.to_string() },
+            };
+            let _ = events.send(Input::Core(event));
+        }
         for part in looks {
             let trouble = disk::look(&stores[part.0 as usize]);
             let _ = events.send(Input::Core(Event::Looked { part, trouble }));
@@ -63,6 +99,16 @@
     }
 }
 
+/// Keeps a roll; what it says of the parts must hold before.
+fn keep(data: &Path, stores: &mut [Store], roll: &Roll, clear: bool) -> Result<(), Error> {
+    if clear {
+        for store in stores {
+            disk::clear(store)?;
+        }
+    }
+    disk::keep(data, roll)
+}
+
 fn one(stores: &mut [Store], job: Job, fates: &mut BTreeMap<PartId, Fate>) {
     let (part, token, got, unsynced) = match job {
         Job::Append { part, token, rec } => {
@@ -73,7 +119,7 @@
             let store = &mut stores[part.0 as usize];
             (part, token, disk::slot(store, &copy), false)
         }
-        Job::Look { .. } => return,
+        Job::Look { .. } | Job::Keep { .. } => return,
     };
     let fate = fates.entry(part).or_default();
     match got {
--- a/crates/programs/src/controller/main.rs
+++ b/crates/programs/src/controller/main.rs
@@ -12,6 +12,7 @@
 use grebe::disk::read::Found;
 use grebe::disk::rec::Copy;
 use grebe::names::{PartId, parts};
+use grebe::seats::roll::begin;
 use grebe::wire::msg::Life;
 use runtime::disk::Store;
 use tracing::{error, warn};
@@ -32,12 +33,21 @@
 fn run(p: params::Params) -> Result<(), std::io::Error> {
     let _lock = runtime::disk::lock(&p.data)?;
     params::check_seat(&p)?;
+    let roll = runtime::disk::roll(&p.data)?;
+    let nonce = runtime::clock::nonce();
     let mut stores: Vec<Store> = Vec::new();
     let mut found: Vec<FoundPart> = Vec::new();
     let mut sick: Vec<(PartId, String)> = Vec::new();
+    let bare = parts().all(|part| runtime::disk::bare(&p.data, part));
+    let (roll, clear) = begin(roll, &params::start(&p), bare, nonce);
     for part in parts() {
         let (mut store, got) = runtime::disk::open(&p.data, part)?;
         match got {
+            _ if clear => {
+                warn!(%part, "the files are of a seat given to another; set aside");
+                runtime::disk::clear(&mut store)?;
+                found.push((part, Life::Empty, Copy::default(), 0));
+            }
             Found::Empty => found.push((part, Life::Empty, Copy::default(), 0)),
             Found::Damaged(why) => {
                 warn!(%part, why, "the files are damaged and set aside; relearning");
@@ -55,17 +65,21 @@
         }
         stores.push(store);
     }
+    // Nothing may be said as who we are before that is on disk.
+    runtime::disk::keep(&p.data, &roll)?;
     // All params are good and the disk was read: now ports are opened.
     let inner = std::net::TcpListener::bind(p.inner)?;
     let door = runtime::http::listen(p.listen, 1)?.remove(0);
-    println!("controller {} inner {} door {}", p.seat, inner.local_addr()?, door.local_addr()?);
+    let name = p.seat.map_or("-".to_string(), |s| s.to_string());
+    println!("controller {name} inner {} door {}", inner.local_addr()?, door.local_addr()?);
     let clock = runtime::clock::clock();
+    let data = p.data.clone();
     let (disk_tx, disk_rx) = mpsc::channel();
     let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
     let disk_events = tx.clone();
     let disk_thread = std::thread::Builder::new()
         .name("disk".into())
-        .spawn(move || disk::serve(stores, disk_rx, disk_events))?;
+        .spawn(move || disk::serve(&data, stores, disk_rx, disk_events))?;
     let door_tx = tx.clone();
     let (stop_tx, stop_rx) = tokio::sync::watch::channel(false);
     let door_thread = std::thread::Builder::new()
@@ -73,7 +87,8 @@
         .spawn(move || door::serve(door, door_tx, stop_rx))?;
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    let end = local.block_on(&rt, owner::serve(p, clock, found, sick, inner, disk_tx, tx, rx));
+    let end =
+        local.block_on(&rt, owner::serve(p, clock, roll, found, sick, inner, disk_tx, tx, rx));
     let _ = stop_tx.send(true);
     drop(local);
     drop(rt);
--- a/crates/programs/src/controller/metrics.rs
+++ b/crates/programs/src/controller/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use grebe::config::{build, change};
+use grebe::seats::table::{Holding, NOBODY};
 use grebe::state::core::Core;
 use grebe::state::leafs;
 use grebe::state::part::{Part, Role};
@@ -48,7 +49,17 @@
             })
         })
         .collect();
-    json!({ "seat": core.seat, "zone": zone, "parts": parts, "uncovered": uncovered(core) })
+    let seats: Vec<Value> = core.seating.roll.table.seats.iter().map(seat).collect();
+    let own = (core.seat != NOBODY).then_some(core.seat);
+    json!({
+        "seat": own, "zone": zone, "parts": parts, "seats": seats,
+        "uncovered": uncovered(core),
+    })
+}
+
+fn seat(h: &Holding) -> Value {
+    json!({ "generation": h.generation, "holder": format!("{:016x}", h.holder), "addr": h.addr,
+            "zone": h.zone })
 }
 
 /// Shards that have no leaf which may get new work, by what this seat knows:
--- a/crates/programs/src/controller/owner.rs
+++ b/crates/programs/src/controller/owner.rs
@@ -2,13 +2,17 @@
 //! into I/O.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::mpsc;
 
+use grebe::seats::roll::Roll;
+use grebe::seats::table::NOBODY;
 use grebe::state::core::{Command, Core, Event, core};
 use grebe::state::step::{WAKE, step};
 use grebe::wire::msg::{Deed, Done, Who};
 use runtime::clock::{Clock, duration, now};
-use runtime::wire::{Out, WireEvent, accept, dial, send};
+use runtime::ways::{self, Ways, arrange, ways};
+use runtime::wire::{Out, WireEvent, accept, send};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tracing::{debug, warn};
@@ -32,9 +36,14 @@
     Metrics(oneshot::Sender<String>),
 }
 
+/// Wakes between two looks at the ways: a second.
+const LOOK_WAKES: u32 = 20;
+
 /// Everything the control thread holds beside the core.
 struct Io {
-    seats: Vec<Option<Out>>,
+    ways: Ways<SocketAddr>,
+    /// Wakes since the ways were last seen to.
+    looked: u32,
     wires: HashMap<u64, Out>,
     disk: mpsc::Sender<Job>,
     tells: HashMap<u64, oneshot::Sender<Done>>,
@@ -46,6 +55,7 @@
 pub async fn serve(
     p: Params,
     clock: Clock,
+    roll: Roll,
     found: Vec<FoundPart>,
     sick: Vec<(grebe::names::PartId, String)>,
     inner: std::net::TcpListener,
@@ -59,20 +69,16 @@
     let (wire_tx, mut wire_rx) = tokio::sync::mpsc::unbounded_channel();
     let fleet = p.fleet;
     tokio::task::spawn_local(accept(inner, fleet, wire_tx.clone()));
-    let mut core = core(p.seat, found, runtime::clock::nonce(), now(&clock));
-    let seats = p
-        .seeds
-        .iter()
-        .enumerate()
-        .map(|(i, addr)| {
-            let other = i != usize::from(p.seat);
-            other.then(|| dial(*addr, (Who::Seat(p.seat), fleet), i as u8, wire_tx.clone()))
-        })
-        .collect();
-    let mut io = Io { seats, wires: HashMap::new(), disk, tells: HashMap::new(), next_op: 1 };
+    let here = (p.addr.to_string(), p.zone.clone());
+    let nonce = runtime::clock::nonce();
+    let mut core = core(roll, (&here.0, &here.1), found, nonce, now(&clock));
+    let ways = ways(Some(p.addr), &p.seeds, (who(&core), fleet), |addr| addr, wire_tx);
+    let wires = HashMap::new();
+    let mut io = Io { ways, looked: 0, wires, disk, tells: HashMap::new(), next_op: 1 };
+    arrange(&mut io.ways, who(&core), &core.seating.roll.table);
     for (part, why) in sick {
         let todo = step(&mut core, now(&clock), Event::DiskTrouble { part, why });
-        carry_out(&mut io, todo);
+        carry_out(&mut io, &core, todo);
     }
     let mut wake = tokio::time::interval(duration(WAKE));
     wake.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -82,18 +88,21 @@
         let event = tokio::select! {
             biased;
             _ = &mut stop => break,
-            _ = wake.tick() => Some(Event::Wake),
+            _ = wake.tick() => {
+                look(&mut io, &core);
+                Some(Event::Wake)
+            }
             Some(input) = rx.recv() => taken(&mut io, &core, &p, &clock, input),
             Some(event) = wire_rx.recv() => heard(&mut io, event),
         };
         if let Some(event) = event {
             let todo = step(&mut core, now(&clock), event);
-            carry_out(&mut io, todo);
+            carry_out(&mut io, &core, todo);
         }
     }
     // Whoever waits here is told, and the others may claim our parts at once.
     let todo = step(&mut core, now(&clock), Event::Stop);
-    carry_out(&mut io, todo);
+    carry_out(&mut io, &core, todo);
     for (_, tell) in io.tells.drain() {
         let _ = tell.send(Done::Unknown { why: "this controller went down".into() });
     }
@@ -124,20 +133,38 @@
     }
 }
 
-fn heard(io: &mut Io, event: WireEvent<u8>) -> Option<Event> {
+/// As whom we dial.
+fn who(core: &Core) -> Who {
+    let holder = core.seating.roll.me;
+    match core.seat {
+        NOBODY => Who::Spare { holder },
+        seat => Who::Seat { seat, holder },
+    }
+}
+
+/// Sees to the ways now and then: a seed that never spoke is given up, or all
+/// seeds are tried again.
+fn look(io: &mut Io, core: &Core) {
+    io.looked += 1;
+    if io.looked.is_multiple_of(LOOK_WAKES) {
+        arrange(&mut io.ways, who(core), &core.seating.roll.table);
+    }
+}
+
+fn heard(io: &mut Io, event: WireEvent<SocketAddr>) -> Option<Event> {
     match event {
-        // Seats answer on the wires that they dial themselves.
-        WireEvent::Dialled { .. } => None,
+        WireEvent::Dialled { tag, msg } => {
+            ways::heard(&mut io.ways, tag, &msg);
+            Some(Event::Answer { msg })
+        }
         WireEvent::Opened { wire, who, out } => {
             debug!(wire, ?who, "wire opened");
-            if matches!(who, Who::Member(_)) {
-                io.wires.insert(wire, out);
-            }
-            None
+            io.wires.insert(wire, out);
+            Some(Event::Opened { wire })
         }
         WireEvent::Came { wire, who, msg } => Some(match who {
-            Who::Seat(seat) => Event::FromSeat { seat, msg },
-            Who::Member(_) => Event::FromWire { wire, msg },
+            Who::Seat { seat, holder } => Event::FromSeat { seat, holder, wire, msg },
+            Who::Member(_) | Who::Spare { .. } => Event::FromWire { wire, msg },
         }),
         WireEvent::Closed { wire } => {
             io.wires.remove(&wire);
@@ -150,13 +177,17 @@
     }
 }
 
-fn carry_out(io: &mut Io, todo: Vec<Command>) {
+fn carry_out(io: &mut Io, core: &Core, todo: Vec<Command>) {
+    let table = &core.seating.roll.table;
     for command in todo {
         match command {
             Command::ToSeat { seat, msg } => {
-                if let Some(Some(out)) = io.seats.get(usize::from(seat)) {
-                    send(out, &msg);
-                }
+                ways::to_seat(&io.ways, table, seat, &msg);
+            }
+            Command::ToAll { msg } => ways::to_all(&io.ways, &msg),
+            Command::Seats => arrange(&mut io.ways, who(core), table),
+            Command::Keep { token, roll, clear } => {
+                let _ = io.disk.send(Job::Keep { token, roll, clear });
             }
             Command::ToWire { wire, msg } => {
                 if let Some(out) = io.wires.get(&wire) {
--- a/crates/programs/src/controller/params.rs
+++ b/crates/programs/src/controller/params.rs
@@ -4,22 +4,30 @@
 use std::path::PathBuf;
 
 use bpaf::{OptionParser, Parser, long};
-use grebe::consts::SEATS;
+use grebe::consts::{SEATS, SEATS_MAX};
 use grebe::lang::finding::find;
+use grebe::seats::roll::Start;
 use runtime::params as p;
 
 /// Everything a controller must be told.
 #[derive(Clone)]
 pub struct Params {
-    /// Which of the three seeds it is.
-    pub seat: u8,
+    /// Which of the seeds it is, where an operator gives the seats away.
+    pub seat: Option<u8>,
     pub zone: String,
     /// Where operators reach it.
     pub listen: SocketAddr,
     /// Where the other processes reach it.
     pub inner: SocketAddr,
-    /// Inner addresses of the three controllers, in the order of their seats.
+    /// Where the other processes find it: `inner`, with the port it got.
+    pub addr: SocketAddr,
+    /// Inner addresses of controllers: with `seat` all of them by their seats,
+    /// else any that are likely to be up; at the first start those that begin.
     pub seeds: Vec<SocketAddr>,
+    /// The fleet starts for the first time.
+    pub first: bool,
+    /// How many seats it begins with.
+    pub seats: usize,
     pub data: PathBuf,
     /// The fleet it belongs to; a number that all its processes share.
     pub fleet: u64,
@@ -32,6 +40,8 @@
     listen: Option<String>,
     inner: Option<String>,
     seeds: Option<String>,
+    first: Option<String>,
+    seats: Option<String>,
     data: Option<String>,
     fleet: Option<String>,
 }
@@ -39,22 +49,32 @@
 fn flags() -> OptionParser<Flags> {
     let file =
         long("params").help("JSON file with params; flags go first").argument("FILE").optional();
-    let seat =
-        long("seat").help("which of the three seeds this is: 0, 1 or 2").argument("N").optional();
+    let seat = long("seat")
+        .help("which of the seeds this is, from 0; without it a seat is found")
+        .argument("N")
+        .optional();
     let zone = long("zone").help("the zone this machine stands in").argument("NAME").optional();
     let listen = long("listen").help("address for operators").argument("IP:PORT").optional();
     let inner =
         long("inner").help("address for the other processes").argument("IP:PORT").optional();
     let seeds = long("seeds")
-        .help("inner addresses of the three controllers, by seat, with commas")
+        .help("inner addresses of controllers, with commas; with --seat all, by seat")
         .argument("IP:PORT,..")
         .optional();
     let data = long("data").help("folder for this controller's files").argument("DIR").optional();
     let fleet = long("fleet")
-        .help("the fleet's name; by default it is known by its seeds")
+        .help("the fleet's name, the same for all its processes (grebe)")
         .argument("NAME")
         .optional();
-    bpaf::construct!(Flags { file, seat, zone, listen, inner, seeds, data, fleet })
+    let first = long("first")
+        .help("whether the whole fleet starts for the first time (false)")
+        .argument("true|false")
+        .optional();
+    let seats = long("seats")
+        .help("seats of the core, an odd number: twice the machines that may be lost, and 1 (3)")
+        .argument("N")
+        .optional();
+    bpaf::construct!(Flags { file, seat, zone, listen, inner, seeds, first, seats, data, fleet })
         .to_options()
         .descr("grebepath's control plane")
 }
@@ -74,50 +94,82 @@
         ("listen", f.listen),
         ("inner", f.inner),
         ("seeds", f.seeds),
+        ("first", f.first),
+        ("seats", f.seats),
         ("data", f.data),
         ("fleet", f.fleet),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
-    let seat = p::number(&mut r, "seat", 0, SEATS as u64 - 1, None) as u8;
-    let seeds = p::addrs(&mut r, "seeds", SEATS);
+    let seat = p::maybe_number(&mut r, "seat", 0, u64::from(SEATS_MAX) - 1).map(|n| n as u8);
+    let seeds = p::addrs(&mut r, "seeds", 1, SEATS_MAX.into());
+    let inner = p::addr(&mut r, "inner");
     let out = Params {
         seat,
-        fleet: p::fleet(&mut r, &seeds),
+        fleet: p::fleet(&mut r),
         zone: p::name(&mut r, "zone"),
         listen: p::addr(&mut r, "listen"),
-        inner: p::addr(&mut r, "inner"),
+        inner,
+        addr: inner,
         seeds,
+        first: p::yes(&mut r, "first", false),
+        seats: p::number(&mut r, "seats", 1, SEATS_MAX.into(), Some(SEATS)) as usize,
         data: PathBuf::from(p::text(&mut r, "data", None)),
     };
-    if let Some(seed) = out.seeds.get(usize::from(seat))
-        && out.seeds.len() == SEATS
-        && out.inner.port() != 0
-        && *seed != out.inner
-    {
-        let text = format!("seed {seat} is {seed}, but this seat's inner address is {}", out.inner);
-        find(&mut r.all, "--seeds", text);
+    if out.seats.is_multiple_of(2) {
+        find(&mut r.all, "--seats", "expected an odd number");
+    }
+    if let Some(seat) = seat {
+        told(&out, seat, &mut r);
     }
     let all = p::done(&mut r);
     p::exit_if_any("controller", &all);
     out
 }
 
+/// What must hold where an operator gives the seats away.
+fn told(p: &Params, seat: u8, r: &mut p::Reader) {
+    if p.seeds.len().is_multiple_of(2) {
+        find(&mut r.all, "--seeds", "with --seat, expected an odd number of addresses");
+    }
+    match p.seeds.get(usize::from(seat)) {
+        None => find(&mut r.all, "--seat", format!("there are {} seeds", p.seeds.len())),
+        Some(seed) if p.inner.port() != 0 && *seed != p.inner => {
+            let text =
+                format!("seed {seat} is {seed}, but this seat's inner address is {}", p.inner);
+            find(&mut r.all, "--seeds", text);
+        }
+        Some(_) => {}
+    }
+}
+
+/// What decides who this controller is at its start.
+pub fn start(p: &Params) -> Start {
+    Start {
+        seat: p.seat,
+        first: p.first,
+        seeds: p.seeds.iter().map(|s| s.to_string()).collect(),
+        size: p.seats,
+        addr: p.addr.to_string(),
+    }
+}
+
 /// A data folder belongs to one seat for ever: used by another, it would vote
 /// twice.
 pub fn check_seat(p: &Params) -> Result<(), std::io::Error> {
     use std::io::Write;
+    let Some(seat) = p.seat else { return Ok(()) };
     let path = p.data.join("seat");
     match std::fs::read_to_string(&path) {
-        Ok(text) if text.trim() == p.seat.to_string() => Ok(()),
+        Ok(text) if text.trim() == seat.to_string() => Ok(()),
         Ok(text) if !text.trim().is_empty() => Err(std::io::Error::other(format!(
             "the data folder {} belongs to seat {}, not {}",
             p.data.display(),
             text.trim(),
-            p.seat
+            seat
         ))),
         _ => {
             let mut file = std::fs::File::create(&path)?;
-            writeln!(file, "{}", p.seat)?;
+            writeln!(file, "{seat}")?;
             file.sync_all()?;
             std::fs::File::open(&p.data)?.sync_all()
         }
--- a/crates/programs/src/proof/fleet.rs
+++ b/crates/programs/src/proof/fleet.rs
@@ -271,6 +271,35 @@
     Ok(fleet)
 }
 
+/// A controller with params of the caller's choice; it is not started.
+pub fn controller(layout: &Layout, name: &str, pairs: &[(&str, String)]) -> Proc {
+    proc(layout, name, "controller", &flags(&[], pairs))
+}
+
+/// Starts one more controller that is not told a seat; gives its number.
+pub fn add_spare(f: &mut Fleet, zone: &str) -> Result<usize, String> {
+    let n = f.seats.len();
+    let ports = free_ports(2)?;
+    let addr = |i: usize| SocketAddr::from(([127, 0, 0, 1], ports[i]));
+    let of = |name: &str| {
+        let at = f.seats[0].args.iter().position(|a| a == name)?;
+        f.seats[0].args.get(at + 1).cloned()
+    };
+    let args = [
+        ("fleet", of("--fleet").ok_or("no --fleet")?),
+        ("zone", zone.to_string()),
+        ("listen", addr(0).to_string()),
+        ("inner", addr(1).to_string()),
+        ("seeds", of("--seeds").ok_or("no --seeds")?),
+        ("data", f.layout.dir.join(format!("seat-{n}")).display().to_string()),
+    ];
+    let mut p = controller(&f.layout, &format!("controller-{n}"), &args);
+    start(&mut p)?;
+    f.seats.push(p);
+    f.doors.push(addr(0));
+    Ok(n)
+}
+
 fn flags(first: &[&str], pairs: &[(&str, String)]) -> Vec<String> {
     let pairs = pairs.iter().flat_map(|(name, val)| [format!("--{name}"), val.clone()]);
     first.iter().map(|s| s.to_string()).chain(pairs).collect()
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -10,13 +10,15 @@
 use grebe::consts;
 use grebe::edge::list;
 use grebe::query::desk;
+use grebe::seats::table::seat_of;
 use grebe::view::leafs::LeafInfo;
 use grebe::view::whole::View;
-use grebe::wire::msg::{Member, Who, Word};
+use grebe::wire::msg::{Member, Msg, Who, Word};
 use http_body_util::Full;
 use hyper::Request;
 use runtime::clock::{Clock, duration, now};
 use runtime::http::{Http, call_within};
+use runtime::ways::{self, Ways, arrange, ways};
 use runtime::wire::{Out, WireEvent, accept, dial, send};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch as signal};
@@ -37,17 +39,22 @@
     Drained,
 }
 
+/// Wakes between two looks at the ways to the core: a second.
+const LOOK_WAKES: u32 = 20;
+
 /// Which wire a message came on.
 #[derive(Clone)]
 enum Tag {
-    Seat(u8),
+    Core(SocketAddr),
     Member(String),
 }
 
 struct Io {
     me: String,
     fleet: u64,
-    seats: Vec<Out>,
+    ways: Ways<Tag>,
+    /// Wakes since the ways were last seen to.
+    looked: u32,
     members: HashMap<String, (SocketAddr, Out)>,
     desks: Vec<UnboundedSender<Work>>,
     ready: signal::Sender<bool>,
@@ -84,17 +91,13 @@
         joined: 0,
     };
     let mut w = watch(me, now(&clock));
-    let who = || (Who::Member(p.name.clone()), fleet);
-    let seats = p
-        .seeds
-        .iter()
-        .enumerate()
-        .map(|(i, addr)| dial(*addr, who(), Tag::Seat(i as u8), wire_tx.clone()))
-        .collect();
+    let who = Who::Member(p.name.clone());
+    let ways = ways(None, &p.seeds, (who, fleet), Tag::Core, wire_tx.clone());
     let mut io = Io {
         me: p.name.clone(),
         fleet,
-        seats,
+        ways,
+        looked: 0,
         members: HashMap::new(),
         desks,
         ready,
@@ -106,6 +109,7 @@
         polling: false,
         shut: false,
     };
+    see_to(&mut io, &w);
     let mut wake = tokio::time::interval(duration(WAKE));
     wake.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let stop = runtime::stop::asked();
@@ -122,7 +126,13 @@
                 until = tokio::time::Instant::now() + duration(consts::DRAIN_MAX);
                 Some(Event::Stop)
             }
-            _ = wake.tick() => Some(Event::Wake),
+            _ = wake.tick() => {
+                io.looked += 1;
+                if io.looked.is_multiple_of(LOOK_WAKES) {
+                    see_to(&mut io, &w);
+                }
+                Some(Event::Wake)
+            }
             Some(input) = rx.recv() => match input {
                 Input::Word { service, word } => Some(Event::Word { service, word }),
                 Input::List(got) => {
@@ -138,7 +148,7 @@
                     None
                 }
             },
-            Some(event) = wire_rx.recv() => heard(&mut io, event),
+            Some(event) = wire_rx.recv() => heard(&mut io, &w, event),
         };
         if let Some(event) = event {
             let todo = step(&mut w, now(&clock), event);
@@ -161,9 +171,22 @@
     Ok(())
 }
 
-fn heard(io: &mut Io, event: WireEvent<Tag>) -> Option<Event> {
+/// Opens and drops wires to the core as the table of the seats asks.
+fn see_to(io: &mut Io, w: &Watch) {
+    let who = Who::Member(io.me.clone());
+    arrange(&mut io.ways, who, &w.table);
+}
+
+fn heard(io: &mut Io, w: &Watch, event: WireEvent<Tag>) -> Option<Event> {
     match event {
-        WireEvent::Dialled { tag: Tag::Seat(seat), msg } => Some(Event::FromSeat { seat, msg }),
+        WireEvent::Dialled { tag: Tag::Core(addr), msg } => {
+            let holder = ways::heard(&mut io.ways, addr, &msg);
+            match msg {
+                Msg::Seats { table, .. } => Some(Event::Seats(table)),
+                // Who has no seat has no say.
+                msg => seat_of(&w.table, holder).map(|seat| Event::FromSeat { seat, msg }),
+            }
+        }
         WireEvent::Dialled { tag: Tag::Member(name), msg }
         | WireEvent::Came { who: Who::Member(name), msg, .. } => {
             Some(Event::FromMember { name, msg })
@@ -184,10 +207,10 @@
     for command in todo {
         match command {
             Command::ToSeat { seat, msg } => {
-                if let Some(out) = io.seats.get(usize::from(seat)) {
-                    send(out, &msg);
-                }
+                ways::to_seat(&io.ways, &w.table, seat, &msg);
             }
+            Command::ToAll { msg } => ways::to_all(&io.ways, &msg),
+            Command::Seats => see_to(io, w),
             Command::ToMember { name, addr, msg } => to_member(io, name, &addr, &msg),
             Command::View(view) => {
                 io.members.retain(|n, _| w.cohort.members.iter().any(|m| m.name == *n));
@@ -223,7 +246,7 @@
     }
 }
 
-fn to_member(io: &mut Io, name: String, addr: &str, msg: &grebe::wire::msg::Msg) {
+fn to_member(io: &mut Io, name: String, addr: &str, msg: &Msg) {
     let Ok(addr) = addr.parse::<SocketAddr>() else { return };
     let known = io.members.get(&name).is_some_and(|(a, _)| *a == addr);
     if !known {
--- a/crates/programs/src/querier/params.rs
+++ b/crates/programs/src/querier/params.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, long};
-use grebe::consts::SEATS;
+use grebe::consts::SEATS_MAX;
 use runtime::params as p;
 
 /// Everything a querier must be told.
@@ -19,7 +19,7 @@
     pub advertise: Option<SocketAddr>,
     /// The fleet it belongs to; a number that all its processes share.
     pub fleet: u64,
-    /// Inner addresses of the three controllers, in the order of their seats.
+    /// Inner addresses of controllers, any that are likely to be up.
     pub seeds: Vec<SocketAddr>,
     /// Where the platform serves its list of leafs.
     pub list: SocketAddr,
@@ -48,7 +48,7 @@
     let listen = long("listen").help("address for callers").argument("IP:PORT").optional();
     let inner = long("inner").help("address for the other queriers").argument("IP:PORT").optional();
     let seeds = long("seeds")
-        .help("inner addresses of the three controllers, by seat, with commas")
+        .help("inner addresses of controllers, with commas")
         .argument("IP:PORT,..")
         .optional();
     let list =
@@ -59,7 +59,7 @@
         .argument("IP:PORT")
         .optional();
     let fleet = long("fleet")
-        .help("the fleet's name; by default it is known by its seeds")
+        .help("the fleet's name, the same for all its processes (grebe)")
         .argument("NAME")
         .optional();
     bpaf::construct!(Flags {
@@ -99,10 +99,10 @@
         ("threads", f.threads),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
-    let seeds = p::addrs(&mut r, "seeds", SEATS);
+    let seeds = p::addrs(&mut r, "seeds", 1, SEATS_MAX.into());
     let out = Params {
         name: p::name(&mut r, "name"),
-        fleet: p::fleet(&mut r, &seeds),
+        fleet: p::fleet(&mut r),
         advertise: p::maybe_addr(&mut r, "advertise"),
         zone: p::name(&mut r, "zone"),
         listen: p::addr(&mut r, "listen"),
--- /dev/null
+++ b/crates/programs/tests/seats.rs
@@ -0,0 +1,211 @@
+//! Seats of real controllers that change hands without an operator.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hyper::Method;
+use proof::fleet::{self, Fleet, Layout, Proc};
+use serde_json::{Value, json};
+
+/// How long anything may take that is only waited for.
+const LONG: Duration = Duration::from_secs(30);
+
+fn layout(test: &str) -> Layout {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let bin = PathBuf::from(env!("CARGO_BIN_EXE_controller")).parent().unwrap().to_path_buf();
+    let deploy = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    Layout { bin, dir, deploy, name: "mohalla".into(), queriers: 2 }
+}
+
+/// Runs a test's body on one thread, as the daemons do.
+fn block<F: Future>(body: F) -> F::Output {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&rt, body)
+}
+
+/// The seat of a controller that has formed all its parts; no seat is `Null`.
+async fn seat(http: &runtime::http::Http, door: SocketAddr) -> Option<Value> {
+    let url = format!("http://{door}/v1/status");
+    let (_, val) = fleet::request(http, Method::GET, url, Vec::new(), &[]).await.ok()?;
+    let here = &val["here"];
+    let parts = here["parts"].as_array()?;
+    let formed = parts.iter().all(|p| p["role"] == "owner" || p["role"] == "follower");
+    (formed || here["seat"].is_null()).then(|| here["seat"].clone())
+}
+
+async fn has_seat(f: &Fleet, i: usize, want: Value) -> bool {
+    fleet::until(LONG, || async { seat(&f.http, f.doors[i]).await == Some(want.clone()) }).await
+}
+
+/// Sets an object through one controller alone.
+async fn patch_at(http: &runtime::http::Http, door: SocketAddr, n: usize) -> (u16, Value) {
+    let url = format!("http://{door}/v1/config");
+    let body = json!({ "zones": [{ "name": format!("mark-{n}"), "state": "open" }] });
+    let id = format!("mark-{n}");
+    let heads = [("request-id", id.as_str())];
+    let body = body.to_string().into_bytes();
+    fleet::request(http, Method::PATCH, url, body, &heads).await.unwrap_or((0, Value::Null))
+}
+
+async fn obeyed(f: &Fleet, rev: u64) {
+    for i in 0..f.queriers.len() {
+        let ask = || async { fleet::obeyed(f, i).await.is_some_and(|r| r >= rev) };
+        assert!(fleet::until(LONG, ask).await, "querier {i} does not obey {rev}");
+    }
+}
+
+#[googletest::test]
+fn a_spare_takes_over_and_the_old_holder_becomes_the_spare() {
+    block(async {
+        let mut f = fleet::up(layout("seats-spare")).await.unwrap();
+        let owner = fleet::config_owner(&f).await.unwrap();
+        // Of the same zone: no zone may gain a majority of the seats.
+        let spare = fleet::add_spare(&mut f, ["a", "b", "c"][owner]).unwrap();
+        for i in 0..f.queriers.len() {
+            assert!(fleet::until(LONG, || fleet::ready(&f, i)).await);
+        }
+        // A controller without a seat takes operators' requests.
+        expect_that!(seat(&f.http, f.doors[spare]).await, some(eq(&Value::Null)));
+        let (code, val) = patch_at(&f.http, f.doors[spare], 0).await;
+        expect_that!(code, eq(200), "{val}");
+        fleet::kill(&mut f.seats[owner]);
+        let (code, val) = patch_at(&f.http, f.doors[spare], 1).await;
+        expect_that!(code, eq(200), "{val}");
+        assert!(has_seat(&f, spare, json!(owner)).await, "the seat was not taken over");
+        // The old holder comes back on its disk and finds its seat given away.
+        fleet::start(&mut f.seats[owner]).unwrap();
+        assert!(has_seat(&f, owner, Value::Null).await, "the old holder still has its seat");
+        // The newcomer counts: with another one down a change is accepted, and
+        // the queriers hear of it although no params of theirs name it.
+        let other = (owner + 1) % 3;
+        fleet::signal(&f.seats[other], "STOP").unwrap();
+        let (code, val) = patch_at(&f.http, f.doors[spare], 2).await;
+        fleet::signal(&f.seats[other], "CONT").unwrap();
+        expect_that!(code, eq(200), "{val}");
+        obeyed(&f, val["revision"].as_u64().unwrap()).await;
+        // All off at once: everyone comes back as who it was.
+        let procs = f.seats.iter_mut().chain(&mut f.queriers);
+        procs.for_each(fleet::kill);
+        for p in f.seats.iter_mut().chain(&mut f.queriers) {
+            fleet::start(p).unwrap();
+        }
+        assert!(has_seat(&f, spare, json!(owner)).await, "the seat was forgotten");
+        let (code, val) = patch_at(&f.http, f.doors[owner], 3).await;
+        expect_that!(code, eq(200), "{val}");
+        obeyed(&f, val["revision"].as_u64().unwrap()).await;
+        let url = format!("http://{}/v1/config", f.doors[spare]);
+        let (_, got) = fleet::request(&f.http, Method::GET, url, Vec::new(), &[]).await.unwrap();
+        for n in 0..4 {
+            expect_that!(got.to_string(), contains_substring(format!("\"mark-{n}\"")));
+        }
+    });
+}
+
+/// Controllers that find their seats; killed when dropped.
+struct Core {
+    procs: Vec<Proc>,
+    doors: Vec<SocketAddr>,
+    dir: PathBuf,
+}
+
+impl Drop for Core {
+    fn drop(&mut self) {
+        self.procs.iter_mut().for_each(fleet::kill);
+    }
+}
+
+fn core(test: &str, seats: usize, count: usize) -> Core {
+    let lay = layout(test);
+    let _ = std::fs::remove_dir_all(&lay.dir);
+    std::fs::create_dir_all(&lay.dir).unwrap();
+    let ports = fleet::free_ports(2 * count).unwrap();
+    let addrs: Vec<SocketAddr> =
+        ports.iter().map(|p| SocketAddr::from(([127, 0, 0, 1], *p))).collect();
+    let (doors, inners) = addrs.split_at(count);
+    let texts: Vec<String> = inners[..3].iter().map(|a| a.to_string()).collect();
+    let mut procs: Vec<Proc> = (0..count)
+        .map(|i| {
+            // Everything comes from a file, as a platform lays it down.
+            let file = lay.dir.join(format!("params-{i}.json"));
+            let zone = ["a", "b", "c"][i % 3];
+            let params = json!({
+                "zone": zone, "listen": doors[i].to_string(),
+                "inner": inners[i].to_string(), "seeds": texts, "first": true,
+                "seats": seats, "data": lay.dir.join(format!("data-{i}")),
+            });
+            std::fs::write(&file, params.to_string()).unwrap();
+            let args = [("params", file.display().to_string())];
+            fleet::controller(&lay, &format!("controller-{i}"), &args)
+        })
+        .collect();
+    procs.iter_mut().for_each(|p| fleet::start(p).unwrap());
+    Core { procs, doors: doors.to_vec(), dir: lay.dir }
+}
+
+/// Waits until so many seats are held and formed.
+async fn held(c: &Core, http: &runtime::http::Http, want: usize) -> bool {
+    let ask = || async {
+        let mut got = Vec::new();
+        for (i, door) in c.doors.iter().enumerate() {
+            if c.procs[i].child.is_some()
+                && let Some(Value::Number(n)) = seat(http, *door).await
+            {
+                got.push(n.as_u64());
+            }
+        }
+        got.sort();
+        got.dedup();
+        got.len() == want
+    };
+    fleet::until(LONG, ask).await
+}
+
+/// What a settings file says after the first start.
+fn no_longer_first(c: &Core, i: usize, seeds: Option<Value>) {
+    let file = c.dir.join(format!("params-{i}.json"));
+    let mut val: Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+    val["first"] = json!(false);
+    if let Some(seeds) = seeds {
+        val["seeds"] = seeds;
+    }
+    std::fs::write(&file, val.to_string()).unwrap();
+}
+
+#[googletest::test]
+fn five_seats_form_from_three_seeds_and_bear_two_lost_disks() {
+    block(async {
+        let mut c = core("seats-five", 5, 6);
+        let http = runtime::http::client(4);
+        assert!(held(&c, &http, 5).await, "five seats were not formed");
+        let whole = json!({ "searches": [], "pools": [], "zones": [] }).to_string().into_bytes();
+        let url = format!("http://{}/v1/config", c.doors[5]);
+        let heads = [("request-id", "whole")];
+        let got = fleet::request(&http, Method::PUT, url, whole, &heads).await.unwrap();
+        expect_that!(got.0, eq(200), "{}", got.1);
+        let (code, val) = patch_at(&http, c.doors[3], 7).await;
+        expect_that!(code, eq(200), "{val}");
+        // At once all die, and two come back with nothing; seeds may be others.
+        c.procs.iter_mut().for_each(fleet::kill);
+        for i in 0..6 {
+            let old: Value = serde_json::from_slice(
+                &std::fs::read(c.dir.join(format!("params-{i}.json"))).unwrap(),
+            )
+            .unwrap();
+            let seeds = old["seeds"].as_array().unwrap();
+            let turned = json!([seeds[2], seeds[1], seeds[0]]);
+            no_longer_first(&c, i, Some(turned));
+        }
+        for i in [0, 1] {
+            std::fs::remove_dir_all(c.dir.join(format!("data-{i}"))).unwrap();
+        }
+        c.procs.iter_mut().for_each(|p| fleet::start(p).unwrap());
+        assert!(held(&c, &http, 5).await, "the seats are not whole again");
+        let url = format!("http://{}/v1/config", c.doors[0]);
+        let (_, got) = fleet::request(&http, Method::GET, url, Vec::new(), &[]).await.unwrap();
+        expect_that!(got.to_string(), contains_substring("mark-7"));
+        let (code, val) = patch_at(&http, c.doors[1], 8).await;
+        expect_that!(code, eq(200), "{val}");
+    });
+}
--- a/crates/programs/tests/wires.rs
+++ b/crates/programs/tests/wires.rs
@@ -34,8 +34,12 @@
     tokio::task::LocalSet::new().block_on(&rt, body)
 }
 
+fn seat(n: u8) -> Who {
+    Who::Seat { seat: n, holder: 7 }
+}
+
 fn follow(rev: u64) -> Msg {
-    Msg::Follow { places: vec![Place { part: CONFIG, rev }] }
+    Msg::Follow { places: vec![Place { part: CONFIG, rev }], stamp: 0 }
 }
 
 #[googletest::test]
@@ -46,23 +50,23 @@
         let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel::<WireEvent<u8>>();
         let task = tokio::task::spawn_local(accept(listener, 7, tx));
         let (dial_tx, _dial_rx) = tokio::sync::mpsc::unbounded_channel();
-        let stranger = dial(addr, (Who::Seat(1), 8), 1u8, dial_tx.clone());
+        let stranger = dial(addr, (seat(1), 8), 1u8, dial_tx.clone());
         send(&stranger, &follow(1));
         let Some(WireEvent::Trouble { text }) = rx.recv().await else { panic!("taken") };
         expect_that!(text, contains_substring("another fleet"));
         drop(stranger);
-        let ours = dial(addr, (Who::Seat(2), 7), 2u8, dial_tx.clone());
+        let ours = dial(addr, (seat(2), 7), 2u8, dial_tx.clone());
         let mut wires = Vec::new();
         // The stranger may have dialled again before it was dropped.
         while wires.len() < 2 {
             match rx.recv().await.unwrap() {
                 WireEvent::Opened { wire, who, .. } => {
-                    expect_that!(who, eq(&Who::Seat(2)));
+                    expect_that!(who, eq(&seat(2)));
                     wires.push(wire);
                     send(&ours, &follow(wires.len() as u64));
                 }
                 WireEvent::Came { who, msg, wire } => {
-                    expect_that!((who, wire), eq(&(Who::Seat(2), wires[0])));
+                    expect_that!((who, wire), eq(&(seat(2), wires[0])));
                     expect_that!(msg, eq(&follow(1)));
                     // Garbage on a wire of its own ends that wire alone.
                     let mut raw = tokio::net::TcpStream::connect(addr).await.unwrap();
--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -9,6 +9,7 @@
 use grebe::disk::rec::{Copy, Rec};
 use grebe::disk::write;
 use grebe::names::PartId;
+use grebe::seats::roll::{self, Roll};
 
 /// One part's files.
 ///
@@ -53,6 +54,12 @@
     Ok((Store { dir, part, seq, log: None, num: 0 }, found))
 }
 
+/// Whether a part has no files.
+pub fn bare(data: &Path, part: PartId) -> bool {
+    let dir = data.join(format!("part-{}", part.0));
+    !["slot-0", "slot-1", "log"].iter().any(|n| dir.join(n).exists())
+}
+
 /// Reads a part's files again, from the disk itself as far as the system lets
 /// us, and compares them with what was written. Tells what is wrong.
 pub fn look(s: &Store) -> Option<String> {
@@ -165,6 +172,34 @@
     file.sync_all()
 }
 
+/// The file that holds the roll.
+const ROLL: &str = "seats";
+
+/// Reads the roll; a damaged one counts as none.
+pub fn roll(data: &Path) -> Result<Option<Roll>, Error> {
+    match fs::read(data.join(ROLL)) {
+        Ok(raw) => Ok(roll::read(&raw)),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+/// Keeps the roll: written beside the old one, synced, renamed over it.
+pub fn keep(data: &Path, roll: &Roll) -> Result<(), Error> {
+    let new = data.join(format!("{ROLL}.new"));
+    write_synced(&new, &roll::write(roll))?;
+    fs::rename(&new, data.join(ROLL))?;
+    sync_dir(data)
+}
+
+/// Sets a part's files aside: they are of a former life, and must not count.
+pub fn clear(s: &mut Store) -> Result<(), Error> {
+    s.log = None;
+    set_aside(&s.dir)?;
+    (s.seq, s.num) = (0, 0);
+    Ok(())
+}
+
 /// Takes the data folder for this process alone, as long as the file lives.
 pub fn lock(data: &Path) -> Result<File, Error> {
     fs::create_dir_all(data)?;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod params;
 pub mod ring;
 pub mod stop;
+pub mod ways;
 pub mod wire;
--- a/crates/runtime/src/params.rs
+++ b/crates/runtime/src/params.rs
@@ -48,6 +48,7 @@
     match r.file.get(name)? {
         Value::String(s) => Some((place, s.clone())),
         Value::Number(n) => Some((place, n.to_string())),
+        Value::Bool(b) => Some((place, b.to_string())),
         Value::Array(list) => {
             let texts: Vec<&str> = list.iter().filter_map(Value::as_str).collect();
             if texts.len() < list.len() {
@@ -124,16 +125,14 @@
     Some(one_addr(r, name, &val))
 }
 
-/// The number of a fleet: of its name, or else of its seeds in their order.
-pub fn fleet(r: &mut Reader, seeds: &[SocketAddr]) -> u64 {
-    match maybe(r, "fleet") {
-        Some(name) => grebe::digest::hash(&name),
-        None => grebe::digest::fleet(seeds),
-    }
+/// The number of a fleet: of its name, which all its processes must share; of
+/// the house's own, if it has none. Not of the seeds: these may differ.
+pub fn fleet(r: &mut Reader) -> u64 {
+    grebe::digest::hash(&maybe(r, "fleet").unwrap_or_else(|| "grebe".into()))
 }
 
-/// Exactly `n` different addresses, separated by commas.
-pub fn addrs(r: &mut Reader, name: &'static str, n: usize) -> Vec<SocketAddr> {
+/// From `low` to `high` different addresses, separated by commas.
+pub fn addrs(r: &mut Reader, name: &'static str, low: usize, high: usize) -> Vec<SocketAddr> {
     let val = text(r, name, None);
     if val.is_empty() {
         return Vec::new();
@@ -142,12 +141,26 @@
     let mut seen = list.clone();
     seen.sort();
     seen.dedup();
-    if list.len() != n || seen.len() != n {
-        find(&mut r.all, format!("--{name}"), format!("expected {n} different addresses"));
+    if !(low..=high).contains(&list.len()) || seen.len() != list.len() {
+        let text = format!("expected {low} to {high} different addresses");
+        find(&mut r.all, format!("--{name}"), text);
     }
     list
 }
 
+/// Yes or no: `true` or `false`.
+pub fn yes(r: &mut Reader, name: &'static str, fall: bool) -> bool {
+    match raw(r, name) {
+        None => fall,
+        Some((_, val)) if val == "true" => true,
+        Some((_, val)) if val == "false" => false,
+        Some((place, _)) => {
+            find(&mut r.all, place, "expected true or false");
+            fall
+        }
+    }
+}
+
 /// A whole number within bounds.
 pub fn number(r: &mut Reader, name: &'static str, low: u64, high: u64, fall: Option<u64>) -> u64 {
     match raw(r, name) {
@@ -167,6 +180,13 @@
     }
 }
 
+/// A whole number within bounds that may be absent.
+pub fn maybe_number(r: &mut Reader, name: &'static str, low: u64, high: u64) -> Option<u64> {
+    let given = r.flags.contains_key(name) || r.file.contains_key(name);
+    let val = number(r, name, low, high, Some(low));
+    given.then_some(val)
+}
+
 /// Ends the reading: unknown names in the file are findings too.
 pub fn done(r: &mut Reader) -> Vec<Finding> {
     let asked = std::mem::take(&mut r.asked);
--- a/crates/runtime/src/wire.rs
+++ b/crates/runtime/src/wire.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Receiver, Sender, UnboundedSender, channel};
 
-use grebe::consts::{WIRE_BUFFER, WIRE_RETRY, WIRE_STALL};
+use grebe::consts::{WIRE_BUFFER, WIRE_DIAL, WIRE_RETRY, WIRE_RETRY_MAX, WIRE_SILENCE, WIRE_STALL};
 use grebe::wire::frame::{self, Gather, HEAD};
 use grebe::wire::msg::{Msg, Who};
 
@@ -74,10 +74,12 @@
     events: UnboundedSender<WireEvent<T>>,
     mut rx: Receiver<Vec<u8>>,
 ) {
+    let mut wait = WIRE_RETRY;
     while !events.is_closed() {
-        let dialled = tokio::time::timeout(duration(WIRE_STALL), TcpStream::connect(addr)).await;
+        let dialled = tokio::time::timeout(duration(WIRE_DIAL), TcpStream::connect(addr)).await;
         if let Ok(Ok(stream)) = dialled {
-            let _ = stream.set_nodelay(true);
+            wait = WIRE_RETRY;
+            set(&stream);
             let (read, write) = stream.into_split();
             // What waited for a dead wire is old news.
             while rx.try_recv().is_ok() {}
@@ -95,10 +97,18 @@
         if rx.is_closed() {
             return;
         }
-        tokio::time::sleep(duration(WIRE_RETRY)).await;
+        tokio::time::sleep(duration(wait)).await;
+        wait = (2 * wait).min(WIRE_RETRY_MAX);
     }
 }
 
+/// No waiting for more to send, and an end to a wire whose other machine is
+/// gone without a word.
+fn set(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(duration(WIRE_SILENCE)));
+}
+
 fn note<T>(events: &UnboundedSender<WireEvent<T>>, addr: SocketAddr, end: Option<String>) {
     if let Some(text) = end {
         let _ = events.send(WireEvent::Trouble { text: format!("wire to {addr}: {text}") });
@@ -122,7 +132,7 @@
             return;
         }
         next += 1;
-        let _ = stream.set_nodelay(true);
+        set(&stream);
         tokio::task::spawn_local(opened(stream, addr, (next, fleet), events.clone()));
     }
 }
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -26,6 +26,7 @@
     pub troubles: Vec<Trouble>,
     /// Whether leafs tell their age.
     pub ages: bool,
+    pub core: world::Cores,
 }
 
 /// One trouble, at its time.
@@ -48,6 +49,9 @@
     ("kill-querier", &["which", "for_s"]),
     ("stop-querier", &["which", "for_s"]),
     ("restart-all", &["power", "for_s", "down", "lose"]),
+    ("start-seat", &["which"]),
+    ("add-seat", &["zone"]),
+    ("seeds", &["list"]),
     ("pause-seat", &["which", "for_s"]),
     ("pause-querier", &["which", "for_s"]),
     ("disk", &["which", "health", "ms"]),
@@ -88,8 +92,18 @@
             return Err(all);
         }
     };
-    let known =
-        ["name", "seconds", "queriers", "factor", "deployment", "config", "troubles", "ages"];
+    let known = [
+        "name",
+        "seconds",
+        "queriers",
+        "factor",
+        "deployment",
+        "config",
+        "troubles",
+        "ages",
+        "seats",
+        "controllers",
+    ];
     for key in val.as_object().into_iter().flat_map(|m| m.keys()) {
         if !known.contains(&key.as_str()) {
             find(&mut all, key, format!("unknown field; known are {}", known.join(", ")));
@@ -110,9 +124,12 @@
     if !(0.001..=100.0).contains(&factor) {
         find(&mut all, "factor", "expected a number from 0.001 to 100");
     }
+    let core = cores(&val, &mut all);
+    let listed = val["troubles"].as_array().into_iter().flatten();
+    let machines = core.machines + listed.filter(|t| t["do"] == "add-seat").count();
     let mut troubles = Vec::new();
     for (i, t) in val["troubles"].as_array().into_iter().flatten().enumerate() {
-        if let Some(t) = trouble(&format!("troubles[{i}]"), t, queriers, &mut all) {
+        if let Some(t) = trouble(&format!("troubles[{i}]"), t, (queriers, machines), &mut all) {
             troubles.push(t);
         }
     }
@@ -126,11 +143,26 @@
             config,
             troubles,
             ages: val["ages"].as_bool().unwrap_or(true),
+            core,
         }),
         _ => Err(all),
     }
 }
 
+/// The core: three controllers that are told their seats, unless the scenario
+/// says how many seats there are, or how many controllers.
+fn cores(val: &Value, all: &mut Vec<Finding>) -> world::Cores {
+    if val.get("seats").is_none() && val.get("controllers").is_none() {
+        return world::three();
+    }
+    let seats = whole(val, "seats", 1, 9, all) as usize;
+    let machines = whole(val, "controllers", 1, 12, all) as usize;
+    if seats.is_multiple_of(2) || machines < seats {
+        find(all, "seats", "expected an odd number of seats and a controller for each");
+    }
+    world::Cores { seats, machines, told: false, seeds: (0..machines.min(3)).collect() }
+}
+
 fn whole(val: &Value, key: &str, low: u64, high: u64, all: &mut Vec<Finding>) -> u64 {
     match val[key].as_u64() {
         Some(n) if (low..=high).contains(&n) => n,
@@ -141,7 +173,12 @@
     }
 }
 
-fn trouble(at: &str, val: &Value, queriers: usize, all: &mut Vec<Finding>) -> Option<Trouble> {
+fn trouble(
+    at: &str,
+    val: &Value,
+    (queriers, seats): (usize, usize),
+    all: &mut Vec<Finding>,
+) -> Option<Trouble> {
     let before = all.len();
     let what = val["do"].as_str().unwrap_or_default().to_string();
     let Some((_, fields)) = WORDS.iter().find(|w| w.0 == what) else {
@@ -159,7 +196,7 @@
         }
     }
     if fields.contains(&"which") {
-        let top = if what.ends_with("querier") { queriers } else { 3 };
+        let top = if what.ends_with("querier") { queriers } else { seats };
         if val["which"].as_u64().is_none_or(|n| n as usize >= top) {
             find(all, format!("{at}.which"), format!("expected a number below {top}"));
         }
@@ -176,7 +213,7 @@
     if what == "cut" {
         for side in ["a", "b"] {
             for n in val[side].as_array().into_iter().flatten() {
-                if n.as_str().is_none_or(|n| nodes(n, queriers).is_empty()) {
+                if n.as_str().is_none_or(|n| nodes(n, queriers, seats).is_empty()) {
                     find(all, format!("{at}.{side}"), format!("{n} names no machine"));
                 }
             }
@@ -195,8 +232,8 @@
 }
 
 /// The machines that a word names.
-fn nodes(word: &str, queriers: usize) -> Vec<Node> {
-    let seats = (0..3).map(Node::Seat);
+fn nodes(word: &str, queriers: usize, machines: usize) -> Vec<Node> {
+    let seats = (0..machines as u8).map(Node::Seat);
     let all = (0..queriers).map(Node::Querier);
     match word {
         "list" => vec![Node::List],
@@ -207,10 +244,11 @@
             if let Some(zone) = word.strip_prefix("zone-") {
                 let Some(z) = ZONES.iter().position(|n| *n == zone) else { return Vec::new() };
                 let own = (0..queriers).filter(|q| q % 3 == z).map(Node::Querier);
-                return [Node::Seat(z as u8)].into_iter().chain(own).collect();
+                return seats.skip(z).step_by(ZONES.len()).chain(own).collect();
             }
             if let Some(n) = word.strip_prefix("seat").and_then(|n| n.parse::<u8>().ok()) {
-                return if n < 3 { vec![Node::Seat(n)] } else { Vec::new() };
+                let known = usize::from(n) < machines;
+                return if known { vec![Node::Seat(n)] } else { Vec::new() };
             }
             match word.strip_prefix('q').and_then(|n| n.parse::<usize>().ok()) {
                 Some(n) if n < queriers => vec![Node::Querier(n)],
@@ -292,6 +330,15 @@
                 world::later(w, span, DueKey::StartSeat(which));
             }
         }
+        "start-seat" if !w.seats[which].up => world::start_seat(w, which),
+        "start-seat" => {}
+        "add-seat" => {
+            world::add_seat(w, val["zone"].as_str());
+        }
+        "seeds" => {
+            let list = val["list"].as_array().into_iter().flatten();
+            w.core.seeds = list.filter_map(|n| Some(n.as_u64()? as usize)).collect();
+        }
         "kill-querier" => {
             world::kill_querier(w, which);
             if let Some(span) = lasts {
@@ -352,24 +399,31 @@
     }
 }
 
-/// Everything ends and starts again; the seat `down` stays down, and the one
-/// named by `lose` comes back with an empty disk.
+/// Everything ends and starts again; the seat `down` stays down, and those
+/// named by `lose` come back with empty disks.
 fn restart_all(w: &mut World, val: &Value, lasts: Option<u64>) {
     let power = val["power"].as_bool().unwrap_or(false);
     let seat = |key: &str| val[key].as_u64().map(|n| n as usize).filter(|n| *n < w.seats.len());
-    let (down, lose) = (seat("down"), seat("lose"));
+    let down = seat("down");
+    let one = val["lose"].as_u64();
+    let more = val["lose"].as_array().into_iter().flatten().filter_map(Value::as_u64);
+    let lose: Vec<usize> = one.into_iter().chain(more).map(|n| n as usize).collect();
+    let alive: Vec<usize> = (0..w.seats.len()).filter(|s| w.seats[*s].up).collect();
     for s in 0..w.seats.len() {
         world::kill_seat(w, s, power);
     }
     for q in 0..w.queriers.len() {
         world::kill_querier(w, q);
     }
-    if let Some(s) = lose {
-        crate::vdisk::lose(&mut w.seats[s].disk);
-        w.lost_disks += 1;
+    for s in lose {
+        if let Some(n) = w.seats.get_mut(s) {
+            crate::vdisk::lose(&mut n.disk);
+            w.lost_disks += 1;
+        }
     }
     let span = lasts.unwrap_or(SECOND);
-    for s in (0..w.seats.len()).filter(|s| Some(*s) != down) {
+    // Who is gone for good does not come back.
+    for s in alive.into_iter().filter(|s| Some(*s) != down) {
         world::later(w, span, DueKey::StartSeat(s));
     }
     for q in 0..w.queriers.len() {
@@ -432,14 +486,14 @@
 }
 
 fn cuts(w: &mut World, val: &Value) {
-    let n = w.queriers.len();
+    let (n, seats) = (w.queriers.len(), w.seats.len());
     let side = |key: &str| -> Vec<Node> {
         val[key]
             .as_array()
             .into_iter()
             .flatten()
             .filter_map(|v| v.as_str())
-            .flat_map(|word| nodes(word, n))
+            .flat_map(|word| nodes(word, n, seats))
             .collect()
     };
     let (a, b) = (side("a"), side("b"));
@@ -498,7 +552,7 @@
 
 /// `play`, with messages weighed from the moment the fleet has come up.
 pub fn play_weighed(s: &Scenario, seed: u64, broken: Option<world::Broken>, weigh: bool) -> World {
-    let mut w = world::world(&s.spec, s.queriers, seed);
+    let mut w = world::world(&s.spec, s.core.clone(), s.queriers, seed);
     w.broken = broken;
     w.backs.ages = s.ages;
     world::order(&mut w, ms(200), world::whole(&s.config));
--- a/crates/sim/src/vdisk.rs
+++ b/crates/sim/src/vdisk.rs
@@ -7,6 +7,7 @@
 use grebe::disk::write;
 use grebe::luck::{Luck, below, chance};
 use grebe::names::PartId;
+use grebe::seats::roll::{self, Roll};
 use grebe::time::{Span, Tick, ms};
 
 /// One part's files and what is being written.
@@ -43,6 +44,10 @@
 pub struct Disk {
     pub parts: Vec<Files>,
     pub health: Health,
+    /// The file that holds the roll, and rolls on their way to it: token, roll,
+    /// and whether the parts' files are set aside before.
+    roll: Option<Vec<u8>>,
+    rolls: Vec<(u64, Roll, bool)>,
     /// When the last job in line will be done.
     busy: Tick,
     /// Jobs that are under way: part, token, done at.
@@ -51,7 +56,14 @@
 
 /// An empty disk.
 pub fn disk(parts: usize) -> Disk {
-    Disk { parts: vec![Files::default(); parts], health: Health::Good, busy: 0, line: Vec::new() }
+    Disk {
+        parts: vec![Files::default(); parts],
+        health: Health::Good,
+        roll: None,
+        rolls: Vec::new(),
+        busy: 0,
+        line: Vec::new(),
+    }
 }
 
 /// Puts a job in line; gives the time at which it will be done, or `None`
@@ -78,6 +90,69 @@
     Some(d.busy)
 }
 
+/// Puts a roll in line, as `begin` does with what belongs to a part.
+pub fn keep(
+    d: &mut Disk,
+    now: Tick,
+    token: u64,
+    roll: Roll,
+    clear: bool,
+    luck: &mut Luck,
+) -> Option<Tick> {
+    d.rolls.push((token, roll, clear));
+    let slow = if let Health::Slow(more) = d.health { more } else { 0 };
+    let took = ms(1) + below(luck, ms(3)) + slow;
+    if d.health == Health::Stalled {
+        return None;
+    }
+    d.busy = d.busy.max(now) + took;
+    Some(d.busy)
+}
+
+/// A roll is kept, or could not be.
+pub fn kept(d: &mut Disk, token: u64) -> Option<Result<(), String>> {
+    let at = d.rolls.iter().position(|(t, _, _)| *t == token)?;
+    let (_, roll, clear) = d.rolls.remove(at);
+    if d.health == Health::Full {
+        return Some(Err("no space left on device".into()));
+    }
+    if clear {
+        set_aside(d);
+    }
+    d.roll = Some(roll::write(&roll));
+    Some(Ok(()))
+}
+
+/// Rolls that remain in line when a stall ends, oldest first.
+pub fn rolls(d: &Disk) -> Vec<u64> {
+    d.rolls.iter().map(|(t, _, _)| *t).collect()
+}
+
+/// The roll as a start finds it; what was not kept is forgotten.
+pub fn roll(d: &mut Disk) -> Option<Roll> {
+    d.rolls.clear();
+    roll::read(d.roll.as_deref()?)
+}
+
+/// Writes the roll of a start, which waits for it.
+pub fn put_roll(d: &mut Disk, roll: &Roll, clear: bool) {
+    if clear {
+        set_aside(d);
+    }
+    d.roll = Some(roll::write(roll));
+}
+
+fn set_aside(d: &mut Disk) {
+    for f in &mut d.parts {
+        *f = Files { aside: f.aside || f.seq > 0, ..Files::default() };
+    }
+}
+
+/// Whether no part has any files.
+pub fn bare(d: &Disk) -> bool {
+    d.parts.iter().all(|f| f.slots.iter().all(Option::is_none) && f.log.is_none())
+}
+
 /// What remains in line when a stall ends, oldest first.
 pub fn waiting(d: &Disk) -> Vec<(PartId, u64)> {
     d.line.iter().map(|(p, t, _)| (*p, *t)).collect()
@@ -116,6 +191,13 @@
 /// Power is lost: what was under way lasts in part, by chance.
 pub fn power_loss(d: &mut Disk, luck: &mut Luck) {
     let line = std::mem::take(&mut d.line);
+    // A file that is renamed is there or it is not.
+    for (_, roll, clear) in std::mem::take(&mut d.rolls) {
+        if chance(luck, 1, 2) {
+            break;
+        }
+        put_roll(d, &roll, clear);
+    }
     let mut broken = vec![false; d.parts.len()];
     for (part, _, job) in line {
         let at = part.0 as usize;
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -16,6 +16,8 @@
 use grebe::query::ask::Outcome;
 use grebe::query::desk::{self, Desk, Door, Sending, desk};
 use grebe::query::step as dstep;
+use grebe::seats::roll::{self, Start};
+use grebe::seats::table::seat_of;
 use grebe::state::core::{self as st, Core, Event as CoreEvent};
 use grebe::state::step as cstep;
 use grebe::time::{BOOT, MILLI, SECOND, Span, Tick, ms};
@@ -81,25 +83,94 @@
 
 /// What happens, and to whom.
 enum Hap {
-    SeatWake { s: usize, life: u64 },
-    ToSeat { s: usize, life: u64, event: CoreEvent },
-    Disk { s: usize, life: u64, part: PartId, token: u64 },
-    QWake { q: usize, life: u64 },
-    ToWatch { q: usize, life: u64, event: wat::Event },
-    ToDesk { q: usize, life: u64, t: usize, event: desk::Event },
-    DeskWake { q: usize, life: u64, t: usize, at: Tick },
-    LeafGets { q: usize, life: u64, t: usize, sending: Box<Sending> },
-    LeafDone { run: u64 },
-    LeafDrop { key: RunKey },
-    Probe { q: usize, life: u64, info: std::sync::Arc<LeafInfo> },
-    ListAsked { q: usize, life: u64 },
-    Call { kind: usize },
-    Arrive { call: u64 },
-    CallDue { call: u64 },
+    SeatWake {
+        s: usize,
+        life: u64,
+    },
+    ToSeat {
+        s: usize,
+        life: u64,
+        event: CoreEvent,
+    },
+    Disk {
+        s: usize,
+        life: u64,
+        part: PartId,
+        token: u64,
+    },
+    Kept {
+        s: usize,
+        life: u64,
+        token: u64,
+    },
+    QWake {
+        q: usize,
+        life: u64,
+    },
+    ToWatch {
+        q: usize,
+        life: u64,
+        event: wat::Event,
+    },
+    /// A controller that says it is `holder` speaks to a querier.
+    FromSeat {
+        q: usize,
+        life: u64,
+        holder: u64,
+        msg: Msg,
+    },
+    ToDesk {
+        q: usize,
+        life: u64,
+        t: usize,
+        event: desk::Event,
+    },
+    DeskWake {
+        q: usize,
+        life: u64,
+        t: usize,
+        at: Tick,
+    },
+    LeafGets {
+        q: usize,
+        life: u64,
+        t: usize,
+        sending: Box<Sending>,
+    },
+    LeafDone {
+        run: u64,
+    },
+    LeafDrop {
+        key: RunKey,
+    },
+    Probe {
+        q: usize,
+        life: u64,
+        info: std::sync::Arc<LeafInfo>,
+    },
+    ListAsked {
+        q: usize,
+        life: u64,
+    },
+    Call {
+        kind: usize,
+    },
+    Arrive {
+        call: u64,
+    },
+    CallDue {
+        call: u64,
+    },
     Platform,
-    Operate { order: usize },
-    Trouble { at: usize },
-    Due { key: DueKey },
+    Operate {
+        order: usize,
+    },
+    Trouble {
+        at: usize,
+    },
+    Due {
+        key: DueKey,
+    },
 }
 
 type RunKey = (usize, u64, usize, u64);
@@ -123,6 +194,7 @@
 
 /// A controller's machine.
 pub struct SeatNode {
+    pub zone: String,
     pub life: u64,
     pub up: bool,
     pub core: Core,
@@ -194,7 +266,11 @@
     next: u64,
     pub luck: Luck,
     pub net: Net,
+    /// The controllers' machines, with a seat or without.
     pub seats: Vec<SeatNode>,
+    pub core: Cores,
+    /// Wires on which something came: (seat's machine, its life, wire).
+    opened: BTreeSet<(usize, u64, u64)>,
     pub queriers: Vec<QNode>,
     pub backs: VBacks,
     pub kinds: Vec<Kind>,
@@ -219,13 +295,40 @@
     pub events: u64,
 }
 
+/// How the core is set up.
+#[derive(Clone, Debug)]
+pub struct Cores {
+    pub seats: usize,
+    /// Machines that begin; those beyond `seats` are spares.
+    pub machines: usize,
+    /// Controllers are told their seats; else they find them.
+    pub told: bool,
+    /// The machines that a start is told of.
+    pub seeds: Vec<usize>,
+}
+
+/// The core of most scenarios: three machines that know their seats.
+pub fn three() -> Cores {
+    Cores { seats: 3, machines: 3, told: true, seeds: vec![0, 1, 2] }
+}
+
+/// Where a controller's machine is reached.
+pub fn address(s: usize) -> String {
+    format!("127.1.0.{}:8000", s + 1)
+}
+
+/// The machine at an address.
+fn machine(w: &World, addr: &str) -> Option<usize> {
+    (0..w.seats.len()).find(|s| address(*s) == addr)
+}
+
 /// Threads of each querier.
 pub const THREADS: u32 = 1;
 /// The world begins here, so that ages of warm leafs fit below.
 const BEGIN: Tick = ms(4_000_000);
 
 /// A fleet that is just being started.
-pub fn world(spec: &Spec, queriers: usize, seed: u64) -> World {
+pub fn world(spec: &Spec, core: Cores, queriers: usize, seed: u64) -> World {
     let mut w = World {
         now: BEGIN,
         haps: BTreeMap::new(),
@@ -233,6 +336,8 @@
         luck: luck(seed),
         net: Net::default(),
         seats: Vec::new(),
+        core,
+        opened: BTreeSet::new(),
         queriers: Vec::new(),
         backs: backs::backs(spec, BEGIN),
         kinds: spec.kinds.clone(),
@@ -252,11 +357,8 @@
         lost_disks: 0,
         events: 0,
     };
-    for s in 0..consts::SEATS {
-        let disk = vdisk::disk(parts().count());
-        let core = st::core(s as Seat, Vec::new(), 0, 1);
-        w.seats.push(SeatNode { life: 0, up: false, core, began: 0, disk, paused: 0 });
-        start_seat(&mut w, s);
+    for _ in 0..w.core.machines {
+        add_seat(&mut w, None);
     }
     for q in 0..queriers {
         let zone = ZONES[q % ZONES.len()].to_string();
@@ -355,9 +457,13 @@
 fn happen(w: &mut World, hap: Hap) {
     // A paused process does nothing; all of it comes at once when it wakes.
     let until = match &hap {
-        Hap::SeatWake { s, .. } | Hap::ToSeat { s, .. } | Hap::Disk { s, .. } => w.seats[*s].paused,
+        Hap::SeatWake { s, .. }
+        | Hap::ToSeat { s, .. }
+        | Hap::Disk { s, .. }
+        | Hap::Kept { s, .. } => w.seats[*s].paused,
         Hap::QWake { q, .. }
         | Hap::ToWatch { q, .. }
+        | Hap::FromSeat { q, .. }
         | Hap::ToDesk { q, .. }
         | Hap::DeskWake { q, .. } => w.queriers[*q].paused,
         _ => 0,
@@ -370,7 +476,10 @@
             push(w, cstep::WAKE, Hap::SeatWake { s, life });
             step_seat(w, s, CoreEvent::Wake);
         }
-        Hap::ToSeat { s, life, event } if alive(w, s, life) => step_seat(w, s, event),
+        Hap::ToSeat { s, life, event } if alive(w, s, life) => {
+            open_wire(w, s, &event);
+            step_seat(w, s, event);
+        }
         Hap::Disk { s, life, part, token } if alive(w, s, life) => {
             if w.seats[s].disk.health == Health::Stalled {
                 return;
@@ -385,6 +494,16 @@
                 step_seat(w, s, event);
             }
         }
+        Hap::Kept { s, life, token } if alive(w, s, life) => {
+            if w.seats[s].disk.health == Health::Stalled {
+                return;
+            }
+            match vdisk::kept(&mut w.seats[s].disk, token) {
+                Some(Ok(())) => step_seat(w, s, CoreEvent::Kept { token }),
+                Some(Err(why)) => step_seat(w, s, CoreEvent::RollTrouble { why }),
+                None => {}
+            }
+        }
         Hap::QWake { q, life } if live(w, q, life) => {
             push(w, qstep::WAKE, Hap::QWake { q, life });
             step_watch(w, q, wat::Event::Wake);
@@ -395,6 +514,16 @@
             }
             step_watch(w, q, event);
         }
+        Hap::FromSeat { q, life, holder, msg } if live(w, q, life) => {
+            let event = match msg {
+                Msg::Seats { table, .. } => wat::Event::Seats(table),
+                msg => match seat_of(&w.queriers[q].watch.table, holder) {
+                    Some(seat) => wat::Event::FromSeat { seat, msg },
+                    None => return,
+                },
+            };
+            step_watch(w, q, event);
+        }
         Hap::ToDesk { q, life, t, event } if live(w, q, life) => step_desk(w, q, t, event),
         Hap::DeskWake { q, life, t, at } if live(w, q, life) && w.queriers[q].wakes[t] == at => {
             w.queriers[q].wakes[t] = 0;
@@ -479,12 +608,40 @@
     push(w, after, Hap::Due { key });
 }
 
+/// Whether this machine's controller has a seat.
+pub fn seated(n: &SeatNode) -> bool {
+    n.core.seat != grebe::seats::table::NOBODY
+}
+
+/// The machines that are up and have a seat.
+pub fn seated_up(w: &World) -> impl Iterator<Item = &SeatNode> {
+    w.seats.iter().filter(|s| s.up && seated(s))
+}
+
+/// Whether every seat is held by one living machine that has formed all parts,
+/// and no machine thinks it has another's.
+pub fn seats_whole(w: &World) -> bool {
+    let Some(best) = seated_up(w).max_by_key(|n| {
+        let list = &n.core.seating.roll.table.seats;
+        list.iter().map(|h| u64::from(h.generation)).sum::<u64>()
+    }) else {
+        return false;
+    };
+    let table = &best.core.seating.roll.table;
+    let whole = |n: &SeatNode| n.core.parts.iter().all(|p| p.life == Life::Formed);
+    table.seats.iter().enumerate().all(|(k, h)| {
+        let held: Vec<_> =
+            seated_up(w).filter(|n| usize::from(n.core.seat) == k && whole(n)).collect();
+        held.len() == 1 && held[0].core.seating.roll.me == h.holder
+    })
+}
+
 /// Whether all seats that are up show the same configuration and all
 /// queriers that are up obey it.
 pub fn settled(w: &World) -> bool {
-    let top = w.seats.iter().filter(|s| s.up).map(|s| s.core.parts[0].shown_rev).max();
+    let top = seated_up(w).map(|s| s.core.parts[0].shown_rev).max();
     let Some(top) = top else { return false };
-    w.seats.iter().filter(|s| s.up).all(|s| s.core.parts[0].shown_rev == top)
+    seated_up(w).all(|s| s.core.parts[0].shown_rev == top)
         && w.queriers
             .iter()
             .filter(|q| q.up)
--- a/crates/sim/src/world/operators.rs
+++ b/crates/sim/src/world/operators.rs
@@ -55,7 +55,8 @@
 /// Who sends a whole one has read the configuration and says which it was, so
 /// nothing that is accepted in between may be lost.
 pub fn race(w: &mut World, count: u64) {
-    let seats: Vec<usize> = (0..w.seats.len()).filter(|s| w.seats[*s].up).collect();
+    let fits = |s: &usize| w.seats[*s].up && seated(&w.seats[*s]);
+    let seats: Vec<usize> = (0..w.seats.len()).filter(fits).collect();
     for i in 0..count {
         let n = w.orders.len();
         let mut o = marked(n);
@@ -143,7 +144,7 @@
 
 /// The configuration that most seats have committed.
 pub fn committed(w: &World) -> Config {
-    let best = w.seats.iter().filter(|s| s.up).max_by_key(|s| s.core.parts[0].shown_rev);
+    let best = seated_up(w).max_by_key(|s| s.core.parts[0].shown_rev);
     best.and_then(|s| change::config(&s.core.parts[0].shown).ok()).unwrap_or_default()
 }
 
@@ -151,7 +152,7 @@
 pub fn finish(w: &mut World) {
     let now = w.now - BEGIN;
     let conf = committed(w);
-    let top = w.seats.iter().filter(|s| s.up).map(|s| s.core.parts[0].shown_rev).max().unwrap_or(0);
+    let top = seated_up(w).map(|s| s.core.parts[0].shown_rev).max().unwrap_or(0);
     for id in 0..w.orders.len() {
         let (Some(done), mark) = (&w.orders[id].done, &w.orders[id].mark) else { continue };
         match done {
--- a/crates/sim/src/world/queriers.rs
+++ b/crates/sim/src/world/queriers.rs
@@ -78,16 +78,16 @@
     let zone = w.queriers[q].zone.clone();
     match command {
         wat::Command::ToSeat { seat, msg } => {
-            weigh(&mut w.net, "querier-seat", &msg);
-            let s = usize::from(seat);
-            let from = (Node::Querier(q), zone.as_str());
-            let at = send(&mut w.net, w.now, from, (Node::Seat(seat), ZONES[s]), &mut w.luck);
-            if let Some(at) = at {
-                let wire = ((q as u64) << 32) | life;
-                let life = w.seats[s].life;
-                push_at(w, at, Hap::ToSeat { s, life, event: CoreEvent::FromWire { wire, msg } });
+            let Some(h) = w.queriers[q].watch.table.seats.get(usize::from(seat)) else { return };
+            let Some(s) = machine(w, &h.addr) else { return };
+            to_controller(w, q, s, msg);
+        }
+        wat::Command::ToAll { msg } => {
+            for s in w.core.seeds.clone() {
+                to_controller(w, q, s, msg.clone());
             }
         }
+        wat::Command::Seats => {}
         wat::Command::ToMember { msg: Msg::Words { .. }, .. }
             if w.broken == Some(Broken::NoWords) => {}
         wat::Command::ToMember { name, msg, .. } => {
@@ -298,3 +298,15 @@
     let life = w.queriers[q].life;
     push(w, 1, Hap::ToWatch { q, life, event: wat::Event::Stop });
 }
+
+fn to_controller(w: &mut World, q: usize, s: usize, msg: Msg) {
+    weigh(&mut w.net, "querier-seat", &msg);
+    let zones = (w.queriers[q].zone.clone(), w.seats[s].zone.clone());
+    let ends = (Node::Querier(q), Node::Seat(s as u8));
+    let at = send(&mut w.net, w.now, (ends.0, &zones.0), (ends.1, &zones.1), &mut w.luck);
+    if let Some(at) = at {
+        let wire = ((q as u64) << 32) | w.queriers[q].life;
+        let life = w.seats[s].life;
+        push_at(w, at, Hap::ToSeat { s, life, event: CoreEvent::FromWire { wire, msg } });
+    }
+}
--- a/crates/sim/src/world/seats.rs
+++ b/crates/sim/src/world/seats.rs
@@ -2,10 +2,32 @@
 
 use super::*;
 
+/// One more machine for a controller, with an empty disk; gives its number.
+pub fn add_seat(w: &mut World, zone: Option<&str>) -> usize {
+    let s = w.seats.len();
+    let disk = vdisk::disk(parts().count());
+    let core = st::core(Default::default(), ("", ""), Vec::new(), 0, 1);
+    let zone = zone.unwrap_or(ZONES[s % ZONES.len()]).to_string();
+    w.seats.push(SeatNode { zone, life: 0, up: false, core, began: 0, disk, paused: 0 });
+    start_seat(w, s);
+    s
+}
+
 /// Starts a controller on its disk.
 pub fn start_seat(w: &mut World, s: usize) {
     let seed = draw(&mut w.luck);
-    let found = vdisk::start(&mut w.seats[s].disk);
+    let start = Start {
+        seat: w.core.told.then_some(s as Seat).filter(|s| usize::from(*s) < w.core.seats),
+        first: w.now == BEGIN,
+        seeds: w.core.seeds.iter().map(|s| address(*s)).collect(),
+        size: w.core.seats,
+        addr: address(s),
+    };
+    let disk = &mut w.seats[s].disk;
+    let bare = vdisk::bare(disk);
+    let (roll, clear) = roll::begin(vdisk::roll(disk), &start, bare, seed);
+    vdisk::put_roll(disk, &roll, clear);
+    let found = vdisk::start(disk);
     let list = found
         .into_iter()
         .map(|(part, found)| match found {
@@ -22,9 +44,48 @@
     n.up = true;
     n.began = w.now;
     n.paused = 0;
-    n.core = st::core(s as Seat, list, seed, BOOT);
+    n.core = st::core(roll, (&start.addr, &n.zone), list, seed, BOOT);
     let life = n.life;
     push(w, below_ms(seed, 50), Hap::SeatWake { s, life });
+    // It dials its seeds and all whom it knows, who tell it the table.
+    for to in ways(w, s) {
+        introduce(w, to, CoreEvent::Opened { wire: wire_of(s, life) });
+    }
+}
+
+/// The machines to which a controller has wires.
+fn ways(w: &World, s: usize) -> Vec<usize> {
+    let table = &w.seats[s].core.seating.roll.table;
+    let known = table.seats.iter().filter_map(|h| machine(w, &h.addr));
+    let mut list: Vec<usize> = known.chain(w.core.seeds.iter().copied()).collect();
+    list.retain(|to| *to != s && *to < w.seats.len());
+    list.sort_unstable();
+    list.dedup();
+    list
+}
+
+/// The wire that a controller's machine opens to others.
+fn wire_of(s: usize, life: u64) -> u64 {
+    1 << 63 | (s as u64) << 32 | life
+}
+
+fn introduce(w: &mut World, to: usize, event: CoreEvent) {
+    let life = w.seats[to].life;
+    push(w, ms(2), Hap::ToSeat { s: to, life, event });
+}
+
+/// What comes on a new wire is preceded by its opening.
+pub(super) fn open_wire(w: &mut World, s: usize, event: &CoreEvent) {
+    let wire = match event {
+        CoreEvent::FromSeat { wire, .. }
+        | CoreEvent::FromWire { wire, .. }
+        | CoreEvent::Opened { wire } => *wire,
+        _ => return,
+    };
+    let new = w.opened.insert((s, w.seats[s].life, wire));
+    if new && !matches!(event, CoreEvent::Opened { .. }) {
+        step_seat(w, s, CoreEvent::Opened { wire });
+    }
 }
 
 pub(super) fn below_ms(seed: u64, n: u64) -> Span {
@@ -43,6 +104,9 @@
         for (part, token) in vdisk::waiting(&w.seats[s].disk) {
             vdisk::done(&mut w.seats[s].disk, part, token);
         }
+        for token in vdisk::rolls(&w.seats[s].disk) {
+            vdisk::kept(&mut w.seats[s].disk, token);
+        }
     }
 }
 
@@ -56,27 +120,47 @@
 
 pub(super) fn seat_does(w: &mut World, s: usize, command: st::Command) {
     let life = w.seats[s].life;
-    let zone = ZONES[s];
     match command {
         st::Command::ToSeat { seat, msg } => {
+            let table = &w.seats[s].core.seating.roll.table;
+            let Some(to) = table.seats.get(usize::from(seat)) else { return };
+            let Some(to) = machine(w, &to.addr) else { return };
+            to_machine(w, s, to, msg);
+        }
+        st::Command::ToAll { msg } => {
+            for to in ways(w, s) {
+                to_machine(w, s, to, msg.clone());
+            }
+        }
+        // Wires are not played; who is new tells its table when it is heard.
+        st::Command::Seats => {}
+        st::Command::Keep { token, roll, clear } => {
+            let at = vdisk::keep(&mut w.seats[s].disk, w.now, token, roll, clear, &mut w.luck);
+            if let Some(at) = at {
+                push_at(w, at, Hap::Kept { s, life, token });
+            }
+        }
+        st::Command::ToWire { wire, msg } if wire >> 63 == 1 => {
             weigh(&mut w.net, "seat-seat", &msg);
-            let (to, pair) = (usize::from(seat), (Node::Seat(s as u8), Node::Seat(seat)));
-            let at = send(&mut w.net, w.now, (pair.0, zone), (pair.1, ZONES[to]), &mut w.luck);
+            let (to, tolife) = ((wire << 1 >> 33) as usize, wire & 0xffff_ffff);
+            let ends = (Node::Seat(s as u8), Node::Seat(to as u8));
+            let zones = (w.seats[s].zone.clone(), w.seats[to].zone.clone());
+            let at = send(&mut w.net, w.now, (ends.0, &zones.0), (ends.1, &zones.1), &mut w.luck);
             if let Some(at) = at {
-                let event = CoreEvent::FromSeat { seat: s as Seat, msg };
-                let life = w.seats[to].life;
-                push_at(w, at, Hap::ToSeat { s: to, life, event });
+                let event = CoreEvent::Answer { msg };
+                push_at(w, at, Hap::ToSeat { s: to, life: tolife, event });
             }
         }
         st::Command::ToWire { wire, msg } => {
             weigh(&mut w.net, "seat-querier", &msg);
             let (q, qlife) = ((wire >> 32) as usize, wire & 0xffff_ffff);
             let to = (Node::Querier(q), w.queriers[q].zone.clone());
-            let from = (Node::Seat(s as u8), zone);
+            let zone = w.seats[s].zone.clone();
+            let from = (Node::Seat(s as u8), zone.as_str());
             let at = send(&mut w.net, w.now, from, (to.0, &to.1), &mut w.luck);
             if let Some(at) = at {
-                let event = wat::Event::FromSeat { seat: s as Seat, msg };
-                push_at(w, at, Hap::ToWatch { q, life: qlife, event });
+                let holder = w.seats[s].core.seating.roll.me;
+                push_at(w, at, Hap::FromSeat { q, life: qlife, holder, msg });
             }
         }
         st::Command::Append { part, token, rec } => disk_job(w, s, part, token, Job::Append(rec)),
@@ -95,6 +179,24 @@
     }
 }
 
+/// A controller sends to another's machine, as who it is just now.
+fn to_machine(w: &mut World, s: usize, to: usize, msg: Msg) {
+    weigh(&mut w.net, "seat-seat", &msg);
+    let ends = (Node::Seat(s as u8), Node::Seat(to as u8));
+    let zones = (w.seats[s].zone.clone(), w.seats[to].zone.clone());
+    let at = send(&mut w.net, w.now, (ends.0, &zones.0), (ends.1, &zones.1), &mut w.luck);
+    let Some(at) = at else { return };
+    let n = &w.seats[s];
+    let wire = wire_of(s, n.life);
+    let event = if seated(n) {
+        CoreEvent::FromSeat { seat: n.core.seat, holder: n.core.seating.roll.me, wire, msg }
+    } else {
+        CoreEvent::FromWire { wire, msg }
+    };
+    let life = w.seats[to].life;
+    push_at(w, at, Hap::ToSeat { s: to, life, event });
+}
+
 pub(super) fn disk_job(w: &mut World, s: usize, part: PartId, token: u64, job: Job) {
     let life = w.seats[s].life;
     let at = vdisk::begin(&mut w.seats[s].disk, w.now, part, token, job, &mut w.luck);
@@ -114,5 +216,8 @@
         for (i, (part, token)) in vdisk::waiting(&w.seats[s].disk).into_iter().enumerate() {
             push(w, ms(2 + i as u64), Hap::Disk { s, life, part, token });
         }
+        for token in vdisk::rolls(&w.seats[s].disk) {
+            push(w, ms(2), Hap::Kept { s, life, token });
+        }
     }
 }
--- /dev/null
+++ b/crates/sim/tests/seats.rs
@@ -0,0 +1,291 @@
+//! Seats that change hands: machines gone for good, disks lost, many at once,
+//! and everything that may go on meanwhile.
+
+mod common;
+
+use grebe::time::{SECOND, ms};
+use grebe::wire::msg::Done;
+use serde_json::{Value, json};
+use sim::chaos::at;
+use sim::scenario::{Scenario, play, read};
+use sim::world::{self, World, seats_whole};
+
+fn scene(seats: usize, controllers: usize, seconds: u64, troubles: Vec<Value>) -> Scenario {
+    let val = json!({ "name": "seats", "seconds": seconds, "queriers": 4, "factor": 0.02,
+                      "seats": seats, "controllers": controllers, "troubles": troubles });
+    match read(val.to_string().as_bytes(), &common::load) {
+        Ok(s) => s,
+        Err(all) => panic!("{}", grebe::lang::finding::lines(&all)),
+    }
+}
+
+/// Plays with several seeds; each must end with whole seats and no violation.
+fn sound(name: &str, s: &Scenario, check: impl Fn(&mut World, u64) + Sync) {
+    std::thread::scope(|scope| {
+        for t in 0..4 {
+            let check = &check;
+            scope.spawn(move || {
+                for seed in (0..8).filter(|n| n % 4 == t) {
+                    let mut w = play(s, seed, None);
+                    let whole =
+                        world::until(&mut w, 20 * SECOND, |w| world::settled(w) && seats_whole(w));
+                    let found = &w.rules.found;
+                    let story = || w.rules.story.join("\n");
+                    assert!(found.is_empty(), "{name}, {seed}: {found:?}\n{}", story());
+                    assert!(whole, "{name}, {seed}: not whole\n{}", state(&w));
+                    check(&mut w, seed);
+                }
+            });
+        }
+    });
+}
+
+fn state(w: &World) -> String {
+    let mut out = String::new();
+    for (i, n) in w.seats.iter().enumerate() {
+        let lives: Vec<_> = n.core.parts.iter().map(|p| format!("{:?}", p.life)).collect();
+        let table = &n.core.seating.roll.table.seats;
+        let list: Vec<_> = table.iter().map(|h| format!("{}:{}", h.generation, h.addr)).collect();
+        out += &format!("machine {i} up {} seat {} {lives:?} {list:?}\n", n.up, n.core.seat);
+    }
+    out + &w.rules.ring.iter().cloned().collect::<Vec<_>>().join("\n")
+}
+
+/// Orders all the time.
+fn storm(count: u64) -> Value {
+    at(0.5, json!({ "do": "storm", "count": count, "gap_ms": 150 }))
+}
+
+/// Which machine has a seat.
+fn holder(w: &World, seat: u8) -> Option<usize> {
+    w.seats.iter().position(|n| n.up && n.core.seat == seat)
+}
+
+fn accepted(w: &World) -> usize {
+    w.orders.iter().filter(|o| matches!(o.done, Some(Done::Accepted { .. }))).count()
+}
+
+/// A spare in the zone, from the first second on.
+fn spare(zone: &str) -> Value {
+    at(0.6, json!({ "do": "add-seat", "zone": zone }))
+}
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+#[test]
+fn a_spare_takes_the_seat_of_a_machine_that_is_gone() {
+    for gone in 0..3 {
+        let kill = at(4.0, json!({ "do": "kill-seat", "which": gone as u64 }));
+        let s = scene(3, 3, 25, vec![storm(120), spare(ZONES[gone]), kill]);
+        sound("takeover", &s, |w, _| {
+            assert_eq!(holder(w, gone as u8), Some(3));
+            assert!(accepted(w) > 100, "{} accepted", accepted(w));
+        });
+    }
+}
+
+#[test]
+fn no_zone_gains_a_majority_of_the_seats() {
+    let kill = at(4.0, json!({ "do": "kill-seat", "which": 1 }));
+    let s = scene(3, 3, 20, vec![storm(60), spare("a"), kill]);
+    let w = play(&s, 5, None);
+    assert!(w.rules.found.is_empty(), "{:?}", w.rules.found);
+    assert_eq!((holder(&w, 1), w.seats[3].core.seat), (None, grebe::seats::table::NOBODY));
+}
+
+#[test]
+fn an_old_holder_that_comes_back_is_a_spare_and_takes_the_next_seat() {
+    for power in [false, true] {
+        let s = scene(
+            3,
+            3,
+            35,
+            vec![
+                storm(200),
+                spare("b"),
+                at(4.0, json!({ "do": "kill-seat", "which": 1, "power": power })),
+                at(14.0, json!({ "do": "start-seat", "which": 1 })),
+                at(20.0, json!({ "do": "kill-seat", "which": 3, "power": power })),
+            ],
+        );
+        sound("returns", &s, |w, _| assert_eq!(holder(w, 1), Some(1)));
+    }
+}
+
+#[test]
+fn a_seat_that_is_cut_off_loses_its_place_whoever_owns_what() {
+    for cut in 0..3 {
+        let s = scene(
+            3,
+            3,
+            30,
+            vec![
+                storm(160),
+                spare(ZONES[cut]),
+                at(4.0, json!({ "do": "cut", "a": [format!("seat{cut}")], "b": ["all"] })),
+                at(15.0, json!({ "do": "heal" })),
+            ],
+        );
+        sound("cut off", &s, |w, _| {
+            assert_eq!(holder(w, cut as u8), Some(3));
+            // The old holder is a spare now, under another name.
+            assert_eq!(w.seats[cut].core.seat, grebe::seats::table::NOBODY);
+        });
+    }
+}
+
+#[test]
+fn a_seat_that_one_other_does_not_hear_keeps_its_place() {
+    let s = scene(
+        3,
+        4,
+        25,
+        vec![
+            storm(100),
+            at(3.0, json!({ "do": "cut", "a": ["seat0"], "b": ["seat1"] })),
+            at(15.0, json!({ "do": "heal" })),
+        ],
+    );
+    sound("half cut", &s, |w, _| assert_eq!(holder(w, 3), None));
+    for n in [0, 1, 2] {
+        let paused =
+            vec![storm(100), at(3.0, json!({ "do": "pause-seat", "which": n, "for_s": 2 }))];
+        sound("paused", &scene(3, 4, 20, paused), |w, _| assert_eq!(holder(w, n), Some(n.into())));
+    }
+}
+
+#[test]
+fn two_spares_never_share_a_seat() {
+    let kill = |t: f64, n: u64| at(t, json!({ "do": "kill-seat", "which": n }));
+    let many = || vec![storm(160), spare("a"), spare("a"), spare("a")];
+    let mut list = many();
+    list.push(kill(4.0, 0));
+    sound("two spares", &scene(3, 3, 20, list), |w, _| {
+        assert_eq!((3..6).filter(|n| world::seated(&w.seats[*n])).count(), 1);
+    });
+    // The applicants themselves die at any time.
+    for t in [6.4, 6.6, 6.8, 7.0, 7.2] {
+        let mut list = many();
+        list.extend([kill(4.0, 0), kill(t, 3), kill(t + 0.3, 4)]);
+        sound("dying spares", &scene(3, 3, 30, list), |w, _| {
+            assert_eq!(holder(w, 0), Some(5));
+        });
+    }
+}
+
+#[test]
+fn a_disk_lost_right_after_an_answer_loses_nothing() {
+    for n in 0..3u64 {
+        let lost = json!({ "do": "kill-seat", "which": n, "for_s": 1.0, "lose": true });
+        let s = scene(3, 3, 20, vec![storm(60), at(6.02, lost)]);
+        sound("lost disk", &s, |w, _| assert_eq!(holder(w, n as u8), Some(n as usize)));
+        let all = json!({ "do": "restart-all", "power": true, "lose": n });
+        sound("lost disk, all off", &scene(3, 3, 20, vec![storm(60), at(4.02, all)]), |_, _| {});
+    }
+}
+
+#[test]
+fn five_seats_bear_two_lost_disks_while_all_restart() {
+    for lose in [[0, 1], [1, 4], [3, 4], [0, 2]] {
+        for power in [false, true] {
+            let all = json!({ "do": "restart-all", "power": power, "lose": lose });
+            let s = scene(5, 6, 25, vec![storm(80), at(5.02, all)]);
+            sound("two of five", &s, |w, _| assert!(accepted(w) > 20));
+        }
+    }
+}
+
+#[test]
+fn two_of_five_machines_are_replaced_while_operators_go_on() {
+    let kill = |t: f64, n: u64| at(t, json!({ "do": "kill-seat", "which": n }));
+    let s = scene(5, 7, 30, vec![storm(180), kill(3.0, 0), kill(3.3, 3)]);
+    sound("two gone", &s, |w, _| assert!(accepted(w) > 120, "{}", accepted(w)));
+}
+
+#[test]
+fn all_machines_are_exchanged_one_after_another() {
+    let mut list = vec![storm(380)];
+    for n in 0..3 {
+        let t = 3.0 + 15.0 * f64::from(n);
+        let zone = ["a", "b", "c"][n as usize];
+        list.push(at(t, json!({ "do": "kill-seat", "which": n, "lose": true })));
+        let seeds: Vec<i32> = (0..3).map(|k| if k <= n { k + 3 } else { k }).collect();
+        list.push(at(t + 1.0, json!({ "do": "seeds", "list": seeds })));
+        list.push(at(t + 1.0, json!({ "do": "add-seat", "zone": zone })));
+        // A querier that starts later knows only the new seeds.
+        list.push(at(t + 8.0, json!({ "do": "kill-querier", "which": n, "for_s": 1 })));
+    }
+    list.push(at(52.0, json!({ "do": "restart-all", "power": true })));
+    sound("exchanged", &scene(3, 3, 70, list), |w, _| {
+        for k in 0..3 {
+            assert_eq!(holder(w, k), Some(usize::from(k) + 3));
+        }
+    });
+}
+
+#[test]
+fn five_seats_begin_with_three_seeds() {
+    for controllers in [5, 6, 8] {
+        sound("first boot", &scene(5, controllers, 15, vec![storm(40)]), |w, _| {
+            assert!(accepted(w) >= 40);
+        });
+    }
+}
+
+#[test]
+fn operators_are_served_by_controllers_without_a_seat() {
+    let s = scene(3, 5, 12, Vec::new());
+    sound("spare's operators", &s, |w, _| {
+        let ask = |w: &mut World, spare: usize| {
+            let n = w.orders.len();
+            let mut order = world::marked(n);
+            order.seat = Some(spare);
+            let id = world::order(w, 0, order);
+            world::until(w, 6 * SECOND, |w| w.orders[id].done.is_some());
+            matches!(w.orders[id].done, Some(Done::Accepted { .. }))
+        };
+        let spares: Vec<usize> =
+            (0..5).filter(|n| w.seats[*n].core.seat == grebe::seats::table::NOBODY).collect();
+        assert_eq!(spares.len(), 2);
+        for spare in &spares {
+            assert!(ask(w, *spare));
+        }
+        // With the owner gone it finds the next one, or takes the seat itself.
+        let owner = w
+            .seats
+            .iter()
+            .position(|n| matches!(n.core.parts[0].role, grebe::state::part::Role::Owner(_)));
+        world::kill_seat(w, owner.unwrap(), false);
+        for spare in spares {
+            assert!(ask(w, spare));
+        }
+        world::run(w, ms(100));
+    });
+}
+
+#[test]
+fn drawn_troubles_break_nothing_while_seats_move() {
+    std::thread::scope(|scope| {
+        for t in 0..4 {
+            scope.spawn(move || {
+                for seed in (0..12u64).filter(|n| n % 4 == t) {
+                    let (seats, controllers) = [(3, 4), (5, 6), (3, 3), (5, 5)][seed as usize % 4];
+                    let mut s = scene(seats, controllers, 70, Vec::new());
+                    s.troubles = sim::chaos::chaos(seed, &s);
+                    let mut w = play(&s, seed, None);
+                    let whole = world::until(&mut w, 20 * SECOND, world::settled);
+                    let found = &w.rules.found;
+                    let list: Vec<String> =
+                        s.troubles.iter().map(|t| format!("{} {t}", t.at_ms)).collect();
+                    assert!(
+                        found.is_empty() && whole,
+                        "seed {seed}, whole {whole}: {found:?}\n{}\n{}\n{}",
+                        list.join("\n"),
+                        w.rules.story.join("\n"),
+                        state(&w)
+                    );
+                }
+            });
+        }
+    });
+}
