--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod reload;
 pub mod ring;
 pub mod stop;
+pub mod ways;
 pub mod wire;
--- a/crates/runtime/src/params.rs
+++ b/crates/runtime/src/params.rs
@@ -48,6 +48,7 @@
     match r.file.get(name)? {
         Value::String(s) => Some((place, s.clone())),
         Value::Number(n) => Some((place, n.to_string())),
+        Value::Bool(b) => Some((place, b.to_string())),
         Value::Array(list) => {
             let texts: Vec<&str> = list.iter().filter_map(Value::as_str).collect();
             if texts.len() < list.len() {
@@ -124,30 +125,52 @@
     Some(one_addr(r, name, &val))
 }
 
-/// The number of a fleet: of its name, or else of its seeds in their order.
-pub fn fleet(r: &mut Reader, seeds: &[SocketAddr]) -> u64 {
-    match maybe(r, "fleet") {
-        Some(name) => grebe::digest::hash(&name),
-        None => grebe::digest::fleet(seeds),
-    }
+/// The number of a fleet: of its name, which all its processes must share; of
+/// the house's own, if it has none. Not of the seeds: these may differ.
+pub fn fleet(r: &mut Reader) -> u64 {
+    grebe::digest::hash(&maybe(r, "fleet").unwrap_or_else(|| "grebe".into()))
 }
 
-/// Exactly `n` different addresses, separated by commas.
-pub fn addrs(r: &mut Reader, name: &'static str, n: usize) -> Vec<SocketAddr> {
+/// From `low` to `high` different addresses, separated by commas; `port` stands
+/// in for each one's own.
+pub fn addrs(
+    r: &mut Reader,
+    name: &'static str,
+    low: usize,
+    high: usize,
+    port: Option<u16>,
+) -> Vec<SocketAddr> {
     let val = text(r, name, None);
     if val.is_empty() {
         return Vec::new();
     }
-    let list: Vec<SocketAddr> = val.split(',').map(|v| one_addr(r, name, v)).collect();
+    let mut list: Vec<SocketAddr> = val.split(',').map(|v| one_addr(r, name, v)).collect();
+    for addr in &mut list {
+        addr.set_port(port.unwrap_or(addr.port()));
+    }
     let mut seen = list.clone();
     seen.sort();
     seen.dedup();
-    if list.len() != n || seen.len() != n {
-        find(&mut r.all, format!("--{name}"), format!("expected {n} different addresses"));
+    if !(low..=high).contains(&list.len()) || seen.len() != list.len() {
+        let text = format!("expected {low} to {high} different addresses");
+        find(&mut r.all, format!("--{name}"), text);
     }
     list
 }
 
+/// Yes or no: `true` or `false`.
+pub fn yes(r: &mut Reader, name: &'static str, fall: bool) -> bool {
+    match raw(r, name) {
+        None => fall,
+        Some((_, val)) if val == "true" => true,
+        Some((_, val)) if val == "false" => false,
+        Some((place, _)) => {
+            find(&mut r.all, place, "expected true or false");
+            fall
+        }
+    }
+}
+
 /// A whole number within bounds.
 pub fn number(r: &mut Reader, name: &'static str, low: u64, high: u64, fall: Option<u64>) -> u64 {
     match raw(r, name) {
@@ -167,21 +190,6 @@
     }
 }
 
-/// Addresses, any number of them; `port` stands in for each one's own.
-pub fn some_addrs(r: &mut Reader, name: &'static str, port: Option<u16>) -> Vec<SocketAddr> {
-    let val = text(r, name, None);
-    let list = val.split(',').filter(|v| !v.is_empty());
-    let mut out: Vec<SocketAddr> = Vec::new();
-    for one in list.map(str::to_string).collect::<Vec<_>>() {
-        let mut addr = one_addr(r, name, &one);
-        addr.set_port(port.unwrap_or(addr.port()));
-        if !out.contains(&addr) {
-            out.push(addr);
-        }
-    }
-    out
-}
-
 /// A share from 0 to 1, in thousandths.
 pub fn thousandths(r: &mut Reader, name: &'static str, fall: u64) -> u64 {
     match raw(r, name) {
@@ -220,6 +228,13 @@
     }
 }
 
+/// A whole number within bounds that may be absent.
+pub fn maybe_number(r: &mut Reader, name: &'static str, low: u64, high: u64) -> Option<u64> {
+    let given = r.flags.contains_key(name) || r.file.contains_key(name);
+    let val = number(r, name, low, high, Some(low));
+    given.then_some(val)
+}
+
 /// Ends the reading: unknown names in the file are findings too.
 pub fn done(r: &mut Reader) -> Vec<Finding> {
     let asked = std::mem::take(&mut r.asked);
