Hold promises, list rates and cold leafs as told; say each alarm once

Cause: found in reading: a leaf's own 429 or 503 without its word that it did not run went back for once-only calls; one 429 spoilt a whole poll of the list; a rate for cold leafs was carried but not held; a dispatch that was out at the end counted twice against its leaf; alarms were written each time. Change: such statuses are not passed on; pages are asked again and polls paced by the list's rate; a cold leaf with a rate has one keeper that holds it; a handed-over dispatch tells once, when it ends; each text once, then counted. The address for checks serves our own paths too.

--- a/crates/grebe/src/config/read.rs
+++ b/crates/grebe/src/config/read.rs
@@ -260,7 +260,7 @@
     }
     let target_ms = number(o, "target_ms", 0, consts::PROMISE_MAX_MS, Some(0));
     let rank = number(o, "rank", 0, u64::from(u32::MAX), Some(0)) as u32;
-    let width = number(o, "width", 1, 4_096, Some(16)) as u32;
+    let width = number(o, "width", 1, 4_096, Some(1)) as u32;
     let top = number(o, "top", 1, 1_000_000, Some(u64::from(consts::RECORDS_DEFAULT))) as u32;
     o.seen.push("weights");
     let mut weights = BTreeMap::new();
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -239,10 +239,17 @@
 pub const CHECK_WIRES: usize = 32;
 /// Most bytes of a call's head and of its body, how long a head may take and a
 /// wire may idle, where the configuration does not say.
+pub const HEAD_LEAST: usize = 8 * 1024;
 pub const HEAD_LIMIT: usize = 16 * 1024;
 pub const BODY_LIMIT: usize = 1024 * 1024;
 pub const HEAD_WAIT: Span = 3 * SECOND;
 pub const WIRE_IDLE: Span = 30 * SECOND;
+/// How often a page is asked again when the list was asked too often (count).
+pub const LIST_AGAIN: u32 = 4;
+/// Calls a second that a list takes from all nodes unless the params say so.
+pub const LIST_RATE: u64 = 40;
+/// Alarms whose texts are remembered, to tell each once (count).
+pub const ALARMS_KEPT: usize = 256;
 /// Most pages of one poll of a list (count): a list without an end is none.
 pub const LIST_PAGES: usize = 1_000;
 /// Least time that a bounced caller is asked to stay away (s): the platform
@@ -325,6 +332,9 @@
 pub const FAR_MIN: Span = ms(2);
 /// What a cold leaf is reckoned slower (percent of its time).
 pub const COLD_PCT: u64 = 200;
+/// Dispatches that a cold leaf's keeper may send at once, in thousandths: below
+/// the half of a second's worth and the slack that the rule leaves above it.
+pub const COLD_BURST: u64 = 2_000;
 /// Time of a leaf that nobody has tried (reckoned).
 pub const UNTRIED: Span = ms(20);
 /// Share of the second tries' part that is used, against rounding (percent).
--- a/crates/grebe/src/query/choose.rs
+++ b/crates/grebe/src/query/choose.rs
@@ -5,8 +5,9 @@
 use indexmap::IndexMap;
 
 use super::leaf::{Leaf, bears, load, used, warm};
-use super::seen;
 use super::share::{Share, part};
+use super::wires::Peer;
+use super::{cold, seen};
 use crate::config::build::{Mapping, PoolPlan};
 use crate::config::types::{Form, Steer};
 use crate::consts::REST_AFTER;
@@ -34,6 +35,9 @@
     pub share: &'a Share,
     pub leafs: &'a IndexMap<String, Leaf>,
     pub zone: &'a str,
+    pub peers: &'a [Peer],
+    /// Our own thread among them.
+    pub slot: u64,
     pub now: Tick,
 }
 
@@ -59,6 +63,14 @@
             let rested = leaf.rest_until > s.now;
             let near = map.local && zone(info) == s.zone;
             if pool.steer == Steer::Seen {
+                let rate = u64::from(pool.cold_rate);
+                if info.cold
+                    && rate > 0
+                    && !(cold::keeps(leaf, s.peers, s.slot)
+                        && cold::saved(leaf, rate, s.now) >= 1_000)
+                {
+                    continue;
+                }
                 let ours = leaf.wires != Some(0);
                 healthy |= ours && !rested;
                 // One that failed lately is tried with one dispatch at a time.
--- a/crates/grebe/src/query/hand.rs
+++ b/crates/grebe/src/query/hand.rs
@@ -123,11 +123,17 @@
         (true, 0, _) => Word::Failed(Trouble::NoPostmark),
         (true, _, _) => Word::Failed(Trouble::TwoPostmarks),
         // The leaf's own word on the call, not a failure of the leaf.
-        (false, _, Form::Pass) if raw.status < 500 && raw.status != 429 => Word::Answer,
+        (false, _, Form::Pass) if raw.status < 500 && !promises(raw.status) => Word::Answer,
         (false, _, _) => Word::Failed(Trouble::Status),
     }
 }
 
+/// Whether a status promises that the call has not run. From a leaf that did
+/// not say so besides, it promises nothing and must not be passed on.
+fn promises(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Whether a dispatch that ended so may have been worked on.
 fn ran(why: Trouble) -> bool {
     !matches!(why, Trouble::Unreachable | Trouble::Unrun | Trouble::Misdirected)
@@ -193,6 +199,7 @@
             q.ran = true;
             if let Ok(raw) = got
                 && why == Trouble::Status
+                && !promises(raw.status)
             {
                 q.last = Some(Arc::new(raw));
             }
@@ -248,6 +255,9 @@
         return;
     }
     let word = match got {
+        // Whatever was asked, a leaf that answers with less than a failure of
+        // its own stands well.
+        Ok(raw) if raw.status < 500 && !raw.heads.unrun && raw.status != MISDIRECTED => Word::Part,
         Ok(raw) => judge(raw, Form::Join),
         Err(why) if ran(*why) => Word::Failed(*why),
         Err(why) => Word::Unrun(*why),
--- a/crates/grebe/src/query/leaf.rs
+++ b/crates/grebe/src/query/leaf.rs
@@ -32,6 +32,10 @@
     pub others: u64,
     /// Wires that we may have to it; nothing where they are not limited.
     pub wires: Option<u64>,
+    /// What we may still send it while it is cold, in thousandths of a
+    /// dispatch, and when that was last reckoned.
+    pub cold_saved: u64,
+    pub cold_at: Tick,
     /// When `strength` last changed.
     pub strength_at: Tick,
     /// Time of a dispatch when the leaf is at ease.
@@ -61,6 +65,8 @@
         slots: 0,
         others: 0,
         wires: None,
+        cold_saved: 0,
+        cold_at: now,
         strength_at: 0,
         usual: 0,
         rank: None,
--- a/crates/grebe/src/query/mod.rs
+++ b/crates/grebe/src/query/mod.rs
@@ -4,6 +4,7 @@
 pub mod again;
 pub mod ask;
 pub mod choose;
+pub mod cold;
 pub mod cover;
 pub mod desk;
 pub mod hand;
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -7,7 +7,7 @@
 use super::leaf::{self, leaf};
 use super::merge::merge;
 use super::parcel::Passed;
-use super::{again, hand, quota, rule, seen, share, waits, wires};
+use super::{again, cold, hand, quota, rule, seen, share, waits, wires};
 use crate::config::build::{Mapping, PoolPlan, needed};
 use crate::config::types::{Class, Form, Steer};
 use crate::consts;
@@ -413,7 +413,15 @@
     if now > d.grip {
         return Choice::Full;
     }
-    let s = Scene { view: &d.view, share: &d.share, leafs: &d.leafs, zone: &d.zone, now };
+    let s = Scene {
+        view: &d.view,
+        share: &d.share,
+        leafs: &d.leafs,
+        zone: &d.zone,
+        peers: &d.peers,
+        slot: d.slot,
+        now,
+    };
     choose(&s, &mut d.luck, &q.map, q.slots[i].shard, &q.slots[i].tried)
 }
 
@@ -470,8 +478,13 @@
     slot.next_at = wait;
     slot.tried.push(info.leaf.clone());
     slot.outs.push(num);
+    let pools = &q.map.shards[slot.shard].pools;
+    let rate = pools.iter().find(|p| p.service == info.service).map_or(0, |p| p.cold_rate);
     if let Some(l) = d.leafs.get_mut(&info.leaf) {
         l.live += 1;
+        if info.cold && rate > 0 {
+            cold::spend(l, u64::from(rate), now);
+        }
     }
     let name = format!("{}.{num}", q.name);
     d.dispatches.insert(
@@ -649,8 +662,11 @@
     for i in 0..q.slots.len() {
         for num in std::mem::take(&mut q.slots[i].outs) {
             // A leaf that let the whole budget pass is slow; say so to itself.
+            // One that was handed over goes on, and tells when it has ended.
+            q.ran |= q.parcel.is_some();
             if now >= q.end
                 && let Some(sent) = d.dispatches.get(&num)
+                && !sent.handed
                 && let Some(l) = d.leafs.get_mut(&sent.leaf)
             {
                 leaf::bad(l, now);
--- a/crates/programs/src/querier/control.rs
+++ b/crates/programs/src/querier/control.rs
@@ -34,14 +34,15 @@
         service: String,
         word: Word,
     },
-    List(Result<Vec<LeafInfo>, String>),
+    /// A poll has ended, after so many pages.
+    List(Result<Vec<LeafInfo>, String>, u64),
     Counts(oneshot::Sender<crate::metrics::Control>),
     /// A traffic thread has nothing in hand any more.
     Drained,
 }
 
 /// The door for checks of readiness, if it is one of its own.
-pub type Checks = Option<(std::net::TcpListener, signal::Receiver<bool>)>;
+pub type Checks = Option<(std::net::TcpListener, signal::Receiver<bool>, crate::door::All)>;
 /// Wakes between two looks at the ways to the core: a second.
 const LOOK_WAKES: u32 = 20;
 
@@ -69,6 +70,13 @@
     dialect: Option<&'static Dialect>,
     probes: bool,
     polling: bool,
+    /// When the list was last polled, and the pages it then had.
+    polled: std::time::Instant,
+    list_pages: u64,
+    /// Calls a second that the platform takes from all nodes.
+    list_rate: u64,
+    /// Alarms told so far: each text once, then only counted.
+    told: HashMap<String, u64>,
     shut: bool,
 }
 
@@ -101,8 +109,9 @@
         w.notice = grace * consts::NOTICE_PCT / 100;
         patience = grace.saturating_sub(consts::GRACE_KEEP);
     }
-    if let (Some((listener, ready)), Some(dialect)) = (checks, p.dialect) {
-        tokio::task::spawn_local(crate::door::check(listener, dialect.ready, ready));
+    if let (Some((listener, ready, all)), Some(dialect)) = (checks, p.dialect) {
+        let own = (all, desks[0].clone());
+        tokio::task::spawn_local(crate::door::check(listener, dialect.ready, ready, own));
     }
     let who = Who::Member(p.name.clone());
     let ways = ways(None, &p.seeds, (who, fleet), Tag::Core, wire_tx.clone());
@@ -122,6 +131,10 @@
         dialect: p.dialect,
         probes: p.probes,
         polling: false,
+        polled: std::time::Instant::now(),
+        list_pages: 0,
+        list_rate: p.list_rate,
+        told: HashMap::new(),
         shut: false,
     };
     let mut files = runtime::reload::watch(p.file.as_deref());
@@ -158,8 +171,9 @@
             }
             Some(input) = rx.recv() => match input {
                 Input::Word { service, word } => Some(Event::Word { service, word }),
-                Input::List(got) => {
+                Input::List(got, pages) => {
                     io.polling = false;
+                    io.list_pages = pages.max(io.list_pages / 2);
                     Some(Event::List(got))
                 }
                 Input::Counts(tell) => {
@@ -237,7 +251,7 @@
         }
         WireEvent::Came { .. } | WireEvent::Closed { .. } => None,
         WireEvent::Trouble { text } => {
-            warn!(me = io.me, "{text}");
+            alarm(io, &text);
             None
         }
     }
@@ -288,11 +302,25 @@
             Command::PollList => poll(io),
             Command::Probe(list) if io.probes => probe(io, list),
             Command::Probe(_) => {}
-            Command::Alarm(text) => warn!(me = io.me, "{text}"),
+            Command::Alarm(text) => alarm(io, &text),
         }
     }
 }
 
+/// Tells an alarm once; the same again goes to the ring, with its count.
+fn alarm(io: &mut Io, text: &str) {
+    if io.told.len() > consts::ALARMS_KEPT {
+        io.told.clear();
+    }
+    let n = io.told.entry(text.to_string()).or_default();
+    *n += 1;
+    if *n == 1 {
+        warn!(me = io.me, "{text}");
+    } else {
+        debug!(n, "{text}");
+    }
+}
+
 fn to_member(io: &mut Io, name: String, addr: &str, msg: &Msg) {
     let Ok(addr) = addr.parse::<SocketAddr>() else { return };
     let known = io.members.get(&name).is_some_and(|(a, _)| *a == addr);
@@ -320,27 +348,43 @@
 
 /// Polls the platform's list, one poll at a time.
 fn poll(io: &mut Io) {
-    if io.polling {
+    // A quarter of what the platform allows, pages counted: others poll too.
+    let pause = io.list_pages * 4_000 / io.list_rate.max(1);
+    if io.polling || io.polled.elapsed() < Duration::from_millis(pause) {
         return;
     }
     io.polling = true;
+    io.polled = std::time::Instant::now();
     let (http, addr, input) = (io.http.clone(), io.list, io.input.clone());
     let dialect = io.dialect;
     tokio::task::spawn_local(async move {
         let got = match dialect {
             Some(dialect) => pages(&http, addr, dialect).await,
-            None => fetch(&http, addr).await,
+            None => fetch(&http, addr).await.map(|list| (list, 1)),
         };
-        let _ = input.send(Input::List(got));
+        let (got, pages) = match got {
+            Ok((list, pages)) => (Ok(list), pages),
+            Err(why) => (Err(why), 0),
+        };
+        let _ = input.send(Input::List(got, pages));
     });
 }
 
 /// Reads a list in another manner, page by page. Only a whole list is one.
-async fn pages(http: &Http, addr: SocketAddr, d: &Dialect) -> Result<Vec<LeafInfo>, String> {
+async fn pages(http: &Http, addr: SocketAddr, d: &Dialect) -> Result<(Vec<LeafInfo>, u64), String> {
     let mut out: Vec<LeafInfo> = Vec::new();
     let mut next: Option<String> = None;
-    for _ in 0..consts::LIST_PAGES {
-        let body = get(http, addr, &(d.list)(next.as_deref())).await?;
+    for n in 1..=consts::LIST_PAGES {
+        let path = (d.list)(next.as_deref());
+        let mut body = get(http, addr, &path).await;
+        for _ in 0..consts::LIST_AGAIN {
+            if body.as_ref().err().is_none_or(|why| why != TOO_MANY) {
+                break;
+            }
+            tokio::time::sleep(duration(consts::LIST_HURRY)).await;
+            body = get(http, addr, &path).await;
+        }
+        let body = body?;
         let page = (d.page)(&body).map_err(|f| f.to_string())?;
         for f in page.findings {
             debug!("the platform's list: {f}");
@@ -352,23 +396,27 @@
             }
         }
         match page.next {
-            None => return Ok(out),
+            None => return Ok((out, n as u64)),
             next_page => next = next_page,
         }
     }
     Err("the list has no end".into())
 }
 
+/// The list was asked too often.
+const TOO_MANY: &str = "asked too often";
+
 async fn get(http: &Http, addr: SocketAddr, path: &str) -> Result<bytes::Bytes, String> {
     let req = Request::get(format!("http://{addr}{path}"))
         .body(Full::default())
         .map_err(|e| e.to_string())?;
     let wait = duration(consts::LIST_PATIENCE);
     let resp = call_within(http, req, consts::LIST_LIMIT, wait).await.map_err(|e| e.to_string())?;
-    if resp.status() != 200 {
-        return Err(format!("status {}", resp.status()));
+    match resp.status().as_u16() {
+        200 => Ok(resp.into_body()),
+        429 => Err(TOO_MANY.into()),
+        code => Err(format!("status {code}")),
     }
-    Ok(resp.into_body())
 }
 
 async fn fetch(http: &Http, addr: SocketAddr) -> Result<Vec<LeafInfo>, String> {
--- a/crates/programs/src/querier/door.rs
+++ b/crates/programs/src/querier/door.rs
@@ -169,8 +169,14 @@
 }
 
 /// Serves the address at which readiness alone is asked.
-pub async fn check(listener: std::net::TcpListener, path: &str, ready: watch::Receiver<bool>) {
-    let router = Router::new().route(
+pub async fn check(
+    listener: std::net::TcpListener,
+    path: &str,
+    ready: watch::Receiver<bool>,
+    (all, here): (All, UnboundedSender<Work>),
+) {
+    // Our own paths beside it: metrics, and searches of our own.
+    let router = router(all, here).route(
         path,
         get(async move || {
             if *ready.borrow() {
--- a/crates/programs/src/querier/main.rs
+++ b/crates/programs/src/querier/main.rs
@@ -42,9 +42,10 @@
         desks.push(work_tx);
         ends.push(work_rx);
     }
-    let checks = check.map(|listener| (listener, ready_rx.clone()));
+    let ready = ready_rx.clone();
     let all =
         door::All { desks: desks.clone(), control: tx.clone(), ready: ready_rx, view: view_rx };
+    let checks = check.map(|listener| (listener, ready, all.clone()));
     let mut threads = Vec::new();
     for (i, (listener, rx)) in listeners.into_iter().zip(ends).enumerate() {
         let setup = traffic::Setup {
--- a/crates/programs/src/querier/params.rs
+++ b/crates/programs/src/querier/params.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, long};
-use grebe::consts::SEATS_MAX;
+use grebe::consts::{self, SEATS_MAX};
 use grebe::lang::finding::Finding;
 use grebe::query::quota::Rate;
 use grebe::time::Span;
@@ -38,6 +38,8 @@
     pub grace: Option<Span>,
     /// Whether leafs are asked about themselves.
     pub probes: bool,
+    /// Calls a second that the list takes from all nodes.
+    pub list_rate: u64,
     /// The file that these came from.
     pub file: Option<String>,
 }
@@ -65,6 +67,7 @@
     second_slack: Option<String>,
     grace_s: Option<String>,
     probes: Option<String>,
+    list_rate: Option<String>,
 }
 
 fn flags() -> OptionParser<Flags> {
@@ -118,7 +121,18 @@
         .help("whether leafs are probed: on (default) or off")
         .argument("W")
         .optional();
-    let more = bpaf::construct!(More { seed_port, second_share, second_slack, grace_s, probes });
+    let list_rate = long("list-rate")
+        .help("calls a second that the list takes from all nodes together (40)")
+        .argument("N")
+        .optional();
+    let more = bpaf::construct!(More {
+        seed_port,
+        second_share,
+        second_slack,
+        grace_s,
+        probes,
+        list_rate
+    });
     bpaf::construct!(Flags {
         file,
         name,
@@ -180,6 +194,7 @@
         ("second_slack", f.more.second_slack),
         ("grace_s", f.more.grace_s),
         ("probes", f.more.probes),
+        ("list_rate", f.more.list_rate),
     ];
     let mut r = p::reader(pairs, f.file.as_deref());
     let port = p::number(&mut r, "seed_port", 0, 65_535, Some(0)) as u16;
@@ -204,6 +219,7 @@
         },
         grace: p::seconds(&mut r, "grace_s"),
         probes: p::word(&mut r, "probes", &["on", "off"], "on") == "on",
+        list_rate: p::amount(&mut r, "list_rate", consts::LIST_RATE),
         file,
     };
     let all = p::done(&mut r);
--- a/crates/runtime/src/handed.rs
+++ b/crates/runtime/src/handed.rs
@@ -111,7 +111,7 @@
         .timer(TokioTimer::new())
         // One clock runs for the idle time and for the head that follows.
         .header_read_timeout(l.idle + l.head_wait)
-        .max_buf_size(l.head_max.max(consts::HEAD_LIMIT))
+        .max_buf_size(l.head_max.max(consts::HEAD_LEAST))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
     let mut end = door.end.subscribe();
--- a/crates/runtime/src/params.rs
+++ b/crates/runtime/src/params.rs
@@ -216,6 +216,20 @@
     }
 }
 
+/// An amount above zero, fractions dropped.
+pub fn amount(r: &mut Reader, name: &'static str, fall: u64) -> u64 {
+    match raw(r, name) {
+        None => fall,
+        Some((place, val)) => match val.parse::<f64>() {
+            Ok(n) if n > 0.0 => (n as u64).max(1),
+            _ => {
+                find(&mut r.all, place, "expected a number above zero");
+                fall
+            }
+        },
+    }
+}
+
 /// One of several words.
 pub fn word(r: &mut Reader, name: &'static str, known: &[&str], fall: &str) -> String {
     match raw(r, name) {
