Deal the last nodes as many wires to leafs as the first

Cause: a node took at most one of a leaf's wires beyond the whole rounds, so those late in the order found too few leafs with wires left: 7 where all others had 10. Change: who is short of its quota takes more wires of the leafs that have some left.

--- a/crates/grebe/src/query/wires.rs
+++ b/crates/grebe/src/query/wires.rs
@@ -46,15 +46,14 @@
             (zone(leafs[*k]) != peer.zone, std::cmp::Reverse(pair(things[*k], peer.slot)))
         });
         let mut got = 0;
-        for k in order {
-            if got == quota {
-                break;
-            }
-            if left[k] > 0 {
-                left[k] -= 1;
-                got += 1;
-                if i == here {
-                    out[k] += 1;
+        // Who comes late finds few leafs with wires left, and takes more of
+        // each: there is a quota for everyone.
+        while got < quota && left.iter().any(|n| *n > 0) {
+            for k in &order {
+                if got < quota && left[*k] > 0 {
+                    left[*k] -= 1;
+                    got += 1;
+                    out[*k] += u64::from(i == here);
                 }
             }
         }
--- a/crates/grebe/tests/common/mod.rs
+++ b/crates/grebe/tests/common/mod.rs
@@ -19,8 +19,13 @@
 /// A seat that owns the configuration, which is empty.
 pub fn one() -> One {
     let addr = "127.0.0.1:1".to_string();
-    let start =
-        Start { seat: Some(0), first: true, seeds: vec![addr.clone()], size: 1, addr: addr.clone() };
+    let start = Start {
+        seat: Some(0),
+        first: true,
+        seeds: vec![addr.clone()],
+        size: 1,
+        addr: addr.clone(),
+    };
     let (roll, _) = begin(None, &start, true, 5);
     let core = core(roll, (&addr, "a"), Vec::new(), 7, BOOT);
     One { core, now: BOOT, ops: 0, done: Vec::new() }
--- a/crates/grebe/tests/editions.rs
+++ b/crates/grebe/tests/editions.rs
@@ -198,7 +198,13 @@
     // Terms that can't be read are found with their places.
     let bad = json!({ "terms": { "after": -1, "edition": 7.5, "idle_ms": "x", "more": 1 } });
     let got = operate(&mut o, "4", Deed::Patch(bad.to_string().into_bytes()));
-    expect_that!(wrong(&got), unordered_elements_are![
-        eq("terms.after"), eq("terms.edition"), eq("terms.idle_ms"), eq("terms.more")
-    ]);
+    expect_that!(
+        wrong(&got),
+        unordered_elements_are![
+            eq("terms.after"),
+            eq("terms.edition"),
+            eq("terms.idle_ms"),
+            eq("terms.more")
+        ]
+    );
 }
--- a/crates/grebe/tests/quota.rs
+++ b/crates/grebe/tests/quota.rs
@@ -78,7 +78,10 @@
                 let seen = run(k as u64 * 100 + n as u64, n, rate, restarts);
                 for len in [1, 100, 1_000, 10_000, 30_000] {
                     let over = over(&seen, rate, len);
-                    assert!(over <= 0, "{rate:?} {n} nodes, {restarts}: over by {over} in {len} ms");
+                    assert!(
+                        over <= 0,
+                        "{rate:?} {n} nodes, {restarts}: over by {over} in {len} ms"
+                    );
                 }
             }
         }
