Believe no word of another call's answer, not even that it is misdirected

Cause: a reply was looked at for 421 before it was looked at for whose it is, so a surplus answer could promise that a once-only call had not run, and it ran twice. Change: what is foreign is judged first. Tests of the desk for calls that are handed over, event by event, with chance events over 3,000 once-only calls and 150 worlds.

--- a/crates/grebe/src/query/hand.rs
+++ b/crates/grebe/src/query/hand.rs
@@ -105,12 +105,13 @@
 /// Judges a reply. Only a whole success with one stamp that answers just this
 /// dispatch is a part.
 fn judge(raw: &Raw, form: Form) -> Word {
-    if raw.status == MISDIRECTED {
-        return Word::Unrun(Trouble::Misdirected);
-    }
+    // Whatever another call's answer says, it says nothing of this one.
     if raw.heads.foreign {
         return Word::Failed(Trouble::WrongPostmark);
     }
+    if raw.status == MISDIRECTED {
+        return Word::Unrun(Trouble::Misdirected);
+    }
     if raw.heads.unrun {
         // What is wrong with the call itself is wrong elsewhere too.
         let own = raw.status == 400 && form == Form::Pass;
--- a/crates/grebe/src/query/step.rs
+++ b/crates/grebe/src/query/step.rs
@@ -584,7 +584,7 @@
     let before = l.leaving;
     // A reply of another leaf, at a reused address, says of ours only that it
     // is gone.
-    let gone = raw.status == crate::edge::leaf::MISDIRECTED;
+    let gone = raw.status == crate::edge::leaf::MISDIRECTED && !raw.heads.foreign;
     if gone {
         l.leaving = true;
     } else {
--- /dev/null
+++ b/crates/grebe/tests/hand.rs
@@ -0,0 +1,835 @@
+//! Calls that are handed over, at the owner of queries, event by event.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use grebe::config::{build, read};
+use grebe::consts;
+use grebe::edge::leaf::{Heads, Raw, Trouble};
+use grebe::luck::{Luck, below, chance, draw, luck};
+use grebe::query::ask::{Bounce, Outcome, Reason};
+use grebe::query::desk::{Command, Desk, Event, Sending, desk};
+use grebe::query::parcel::{Joined, Parcel, Passed, join};
+use grebe::query::quota;
+use grebe::query::share::share;
+use grebe::query::step::{next, step};
+use grebe::time::{BOOT, SECOND, Tick, ms};
+use grebe::view::leafs::LeafInfo;
+use grebe::view::whole::{View, view};
+use serde_json::{Value, json};
+
+const NOW: Tick = BOOT + SECOND;
+
+/// A world: leafs of each service `(name, leafs)`, in zones a and b by turns.
+struct World {
+    services: Vec<(&'static str, usize)>,
+    searches: Vec<Value>,
+    slots: u32,
+    drained: &'static str,
+    leaving: Vec<String>,
+}
+
+fn world(services: &[(&'static str, usize)], searches: Vec<Value>) -> World {
+    let (slots, drained) = (4, "none");
+    World { services: services.to_vec(), searches, slots, drained, leaving: Vec::new() }
+}
+
+fn seen(w: &World) -> View {
+    let pools: Vec<Value> = w
+        .services
+        .iter()
+        .map(|(s, _)| {
+            json!({ "name": s, "service": s, "labels": { "pool": s }, "ramp_ms": 0,
+                "steer": "seen" })
+        })
+        .collect();
+    let conf = json!({ "pools": pools, "searches": w.searches,
+        "zones": [{ "name": w.drained, "state": "drained" }] });
+    let conf = read::whole(conf.to_string().as_bytes()).unwrap();
+    let mut leafs = Vec::new();
+    for (s, n) in &w.services {
+        for i in 0..*n {
+            let (leaf, zone) = (format!("{s}-{i}"), if i % 2 == 0 { "a" } else { "b" });
+            leafs.push(LeafInfo {
+                leaving: w.leaving.contains(&leaf),
+                leaf,
+                service: s.to_string(),
+                addr: format!("127.0.0.1:{}", 100 + leafs.len()),
+                labels: [("zone".to_string(), zone.to_string())].into(),
+                age_ms: 3_600_000,
+                slots: w.slots,
+                cold: false,
+            });
+        }
+    }
+    view(7, Arc::new(build::build(&conf).unwrap()), leafs)
+}
+
+/// A desk with a saved quota of second tries for every service.
+fn open(w: &World) -> Desk {
+    let mut d = desk("q", "a", 1, BOOT);
+    step(&mut d, BOOT, Event::View(Arc::new(seen(w))));
+    step(&mut d, BOOT, Event::Share(share(&[("q".into(), 1)], "q", 0)));
+    step(&mut d, BOOT, Event::Grip(Tick::MAX));
+    for (s, _) in &w.services {
+        for _ in 0..200 {
+            quota::first(&mut d.quota, s);
+        }
+    }
+    d
+}
+
+/// A search of one service, its fields changed by `more`.
+fn pass(more: Value) -> Value {
+    let mut out = json!({ "name": "s", "host": "h.example", "path": "/x/", "form": "pass",
+        "promise_ms": 1000, "target_ms": 100, "attempts": 2,
+        "plan": "from pool = \"p\" by pool; send wide; prefer local" });
+    for (k, v) in more.as_object().unwrap() {
+        out[k] = v.clone();
+    }
+    out
+}
+
+/// A search that joins the parts of services a, b, c and d.
+fn joined(more: Value) -> Value {
+    let plan = "from pool in (\"a\", \"b\", \"c\", \"d\") by pool; send wide; prefer local";
+    let mut out = pass(json!({ "form": "join", "top": 5, "quorum": 0.5, "plan": plan }));
+    for (k, v) in more.as_object().unwrap() {
+        out[k] = v.clone();
+    }
+    out
+}
+
+const FOUR: [(&str, usize); 4] = [("a", 3), ("b", 3), ("c", 3), ("d", 3)];
+
+fn parcel(host: &str, path: &str) -> Parcel {
+    Parcel {
+        id: "id-1".into(),
+        method: "POST".into(),
+        host: host.into(),
+        path: path.into(),
+        target: format!("{path}?q=%20"),
+        heads: vec![("x-own".into(), b"v\xff".to_vec())],
+        body: b"body".to_vec(),
+        budget: Some(ms(800)),
+    }
+}
+
+fn hand(d: &mut Desk, now: Tick, call: u64, host: &str, path: &str) -> Vec<Command> {
+    step(d, now, Event::Hand { call, parcel: Arc::new(parcel(host, path)) })
+}
+
+fn call(d: &mut Desk, now: Tick, call: u64) -> Vec<Sending> {
+    sent(hand(d, now, call, "h.example", "/x/y"))
+}
+
+fn sent(todo: Vec<Command>) -> Vec<Sending> {
+    todo.into_iter().filter_map(|c| if let Command::Send(s) = c { Some(s) } else { None }).collect()
+}
+
+fn told(todo: &[Command]) -> Option<&Outcome> {
+    todo.iter()
+        .find_map(|c| if let Command::Tell { outcome, .. } = c { Some(outcome) } else { None })
+}
+
+fn bounced(todo: &[Command]) -> Bounce {
+    match told(todo) {
+        Some(Outcome::Bounce(b)) => b.clone(),
+        other => panic!("no bounce: {other:?}"),
+    }
+}
+
+fn passed(todo: &[Command]) -> Passed {
+    match told(todo) {
+        Some(Outcome::Passed(p)) => p.clone(),
+        other => panic!("nothing passed: {other:?}"),
+    }
+}
+
+fn of_parts(todo: &[Command]) -> Joined {
+    match told(todo) {
+        Some(Outcome::Joined(j)) => j.clone(),
+        other => panic!("nothing joined: {other:?}"),
+    }
+}
+
+fn raw(status: u16, stamps: &[&str], body: &[u8]) -> Raw {
+    let postmarks = stamps.iter().map(|s| s.to_string()).collect();
+    let heads = Heads { postmarks, ..Heads::default() };
+    Raw { status, heads, body: body.to_vec() }
+}
+
+fn good(s: &Sending) -> Raw {
+    raw(200, &[&format!("stamp-{}", s.leaf)], s.service.repeat(16).as_bytes())
+}
+
+fn unrun(status: u16) -> Raw {
+    let mut out = raw(status, &[], b"");
+    out.heads.unrun = true;
+    out
+}
+
+type Got = std::result::Result<Raw, Trouble>;
+
+fn reply(d: &mut Desk, now: Tick, s: &Sending, got: Got) -> Vec<Command> {
+    step(d, now, Event::Reply { dispatch: s.dispatch, got })
+}
+
+fn wake(d: &mut Desk, now: Tick) -> Vec<Command> {
+    step(d, now, Event::Wake)
+}
+
+#[googletest::test]
+fn a_call_goes_to_the_longest_path_of_its_host() {
+    // Guards against calls that reach the service of another search.
+    let to = |name: &str, host: &str, path: &str, pool: &str| {
+        pass(json!({ "name": name, "host": host, "path": path,
+            "plan": format!("from pool = \"{pool}\" by pool; send wide") }))
+    };
+    let w = world(
+        &[("p", 1), ("q", 1), ("r", 1), ("t", 1)],
+        vec![
+            to("1", "h.example", "/x/", "p"),
+            to("2", "h.example", "/x/y/", "q"),
+            to("3", "H2.Example", "/x/", "r"),
+            to("4", "h.example", "/", "t"),
+            to("5", "port.example:81", "/", "r"),
+        ],
+    );
+    for (host, path, want) in [
+        ("h.example", "/x/", Some("p")),
+        ("h.example", "/x/y", Some("p")),
+        ("h.example", "/x/y/", Some("q")),
+        ("h.example", "/x/y/z", Some("q")),
+        ("h.example", "/x", Some("t")),
+        ("h.example", "/X/", Some("t")),
+        ("H.EXAMPLE", "/x/1", Some("p")),
+        ("h.example:8726", "/x/1", Some("p")),
+        ("h2.example", "/x/1", Some("r")),
+        ("h2.example", "/y/1", None),
+        ("h2.example.", "/x/1", None),
+        ("nobody.example", "/x/", None),
+        ("", "/x/", None),
+        ("port.example:81", "/", Some("r")),
+        ("port.example:82", "/", None),
+    ] {
+        let mut d = open(&w);
+        let todo = hand(&mut d, NOW, 1, host, path);
+        match want {
+            None => expect_that!(bounced(&todo).reason, eq(Reason::NoMapping), "{host}{path}"),
+            Some(pool) => {
+                let list = sent(todo);
+                expect_that!(list.len(), eq(1), "{host}{path}");
+                expect_that!(list[0].service, eq(pool), "{host}{path}");
+            }
+        }
+    }
+}
+
+#[googletest::test]
+fn a_call_goes_out_as_it_came_and_its_answer_comes_back_as_it_is() {
+    let mut d = open(&world(&[("p", 2)], vec![pass(json!({}))]));
+    let list = call(&mut d, NOW, 9);
+    let p = list[0].parcel.clone().unwrap();
+    let want = parcel("h.example", "/x/y");
+    expect_that!((&p.id, &p.method, &p.target), eq((&want.id, &want.method, &want.target)));
+    expect_that!((&p.heads, &p.body), eq((&want.heads, &want.body)));
+    // Never more time than the caller and the promise leave.
+    expect_that!(list[0].budget, le(ms(800)));
+    expect_that!(list[0].budget, ge(ms(700)));
+    for (status, stamps) in [(200, vec!["st"]), (404, vec![]), (302, vec![]), (204, vec!["st"])] {
+        let mut d = open(&world(&[("p", 2)], vec![pass(json!({}))]));
+        let list = call(&mut d, NOW, 9);
+        let mut raw = raw(status, &stamps, b"\x00any\xff");
+        raw.heads.all = vec![("x".into(), b"\xfe".to_vec()), ("x".into(), b"2".to_vec())];
+        let todo = reply(&mut d, NOW + 5, &list[0], Ok(raw.clone()));
+        let got = passed(&todo);
+        expect_that!(got.id, eq("id-1"));
+        expect_that!((got.raw.status, &got.raw.body), eq((status, &raw.body)));
+        expect_that!(got.raw.heads.all, eq(&raw.heads.all));
+        expect_that!(todo.len(), eq(1));
+        expect_that!(d.queries.len() + d.dispatches.len(), eq(0));
+        // A late copy tells nobody anything.
+        expect_that!(reply(&mut d, NOW + 6, &list[0], Ok(raw)).len(), eq(0));
+    }
+}
+
+#[googletest::test]
+fn a_failure_of_a_leaf_is_tried_elsewhere_and_given_back_only_if_all_fail() {
+    let mut d = open(&world(&[("p", 3)], vec![pass(json!({}))]));
+    let first = call(&mut d, NOW, 1);
+    let again = sent(reply(&mut d, NOW + 5, &first[0], Ok(raw(500, &["st"], b"one"))));
+    expect_that!(again.len(), eq(1));
+    expect_that!(again[0].leaf, not(eq(&first[0].leaf)));
+    let todo = reply(&mut d, NOW + 9, &again[0], Ok(good(&again[0])));
+    expect_that!(passed(&todo).raw.status, eq(200));
+    // Both fail: the leaf's own word says more than ours.
+    let first = call(&mut d, NOW, 2);
+    let again = sent(reply(&mut d, NOW + 5, &first[0], Ok(raw(500, &[], b"one"))));
+    let todo = reply(&mut d, NOW + 9, &again[0], Ok(raw(502, &[], b"two")));
+    expect_that!(passed(&todo).raw.status, eq(502));
+    // A failure that is no answer at all never goes back as one.
+    let first = call(&mut d, NOW, 3);
+    let again = sent(reply(&mut d, NOW + 5, &first[0], Err(Trouble::Cut)));
+    let todo = reply(&mut d, NOW + 9, &again[0], Err(Trouble::Overlong));
+    let b = bounced(&todo);
+    expect_that!((b.reason, b.ran), eq((Reason::BelowQuorum, true)));
+}
+
+#[googletest::test]
+fn answers_that_are_not_the_leafs_own_to_this_call_are_never_passed() {
+    // Guards against another call's answer, or half of one, told as a success.
+    let spoils: Vec<(&str, fn(&mut Raw))> = vec![
+        ("no stamp", |r| r.heads.postmarks.clear()),
+        ("two stamps", |r| r.heads.postmarks.push("other".into())),
+        ("foreign", |r| r.heads.foreign = true),
+        ("foreign failure", |r| (r.heads.foreign, r.status) = (true, 404)),
+        ("foreign word that it did not run", |r| {
+            (r.heads.foreign, r.heads.unrun, r.status) = (true, true, 503);
+        }),
+    ];
+    for (name, spoil) in spoils {
+        for once in [false, true] {
+            let mut d = open(&world(&[("p", 3)], vec![pass(json!({ "once": once }))]));
+            let list = call(&mut d, NOW, 1);
+            let mut got = good(&list[0]);
+            spoil(&mut got);
+            let todo = reply(&mut d, NOW + 5, &list[0], Ok(got));
+            if once {
+                expect_that!(bounced(&todo).ran, eq(true), "{name}");
+            } else {
+                expect_that!(told(&todo).is_none(), eq(true), "{name}");
+                expect_that!(sent(todo).len(), eq(1), "{name}");
+            }
+        }
+    }
+    // The platform's list names the leaf under another service by now.
+    let mut w = world(&[("p", 1), ("q", 1)], vec![pass(json!({}))]);
+    let mut d = open(&w);
+    let list = call(&mut d, NOW, 1);
+    w.services = vec![("q", 1), ("p", 0)];
+    let mut v = seen(&w);
+    let moved = LeafInfo { leaf: "p-0".into(), ..(*v.leafs["q-0"]).clone() };
+    v.leafs.insert("p-0".into(), Arc::new(moved));
+    step(&mut d, NOW + 1, Event::View(Arc::new(v)));
+    let todo = reply(&mut d, NOW + 5, &list[0], Ok(good(&list[0])));
+    expect_that!(matches!(told(&todo), Some(Outcome::Passed(_))), eq(false));
+}
+
+#[googletest::test]
+fn a_misdirected_word_that_belongs_to_another_call_promises_nothing() {
+    // Guards against a once-only call that runs twice because a surplus answer
+    // says that another call has not run.
+    let mut d = open(&world(&[("p", 3)], vec![pass(json!({ "once": true, "attempts": 3 }))]));
+    let list = call(&mut d, NOW, 1);
+    let mut got = raw(421, &[], b"");
+    got.heads.foreign = true;
+    let todo = reply(&mut d, NOW + 5, &list[0], Ok(got));
+    expect_that!(bounced(&todo).ran, eq(true));
+    expect_that!(sent(todo).len(), eq(0));
+}
+
+/// What a reply to a once-only call may be, and whether the leaf may have run it.
+fn any_reply(luck: &mut Luck, s: &Sending) -> (Got, bool) {
+    match below(luck, 14) {
+        0 | 1 => (Ok(good(s)), true),
+        2 => (Err(Trouble::Cut), true),
+        3 => (Err(Trouble::OutOfTime), true),
+        4 => (Err(Trouble::Overlong), true),
+        5 => (Ok(raw(500, &["st"], b"")), true),
+        6 => (Ok(raw(503, &[], b"")), true),
+        7 => (Ok(raw(429, &[], b"")), true),
+        8 => (Ok(raw(200, &[], b"")), true),
+        9 => (Ok(unrun(503)), false),
+        10 => (Ok(unrun(429)), false),
+        11 => (Ok(raw(421, &[], b"")), false),
+        _ => (Err(Trouble::Unreachable), false),
+    }
+}
+
+#[googletest::test]
+fn a_once_only_call_is_never_dispatched_again_after_it_may_have_run() {
+    // Guards against work that is done twice.
+    let (mut again, mut promised) = (0, 0);
+    for seed in 0..3_000 {
+        let mut luck = luck(seed);
+        let attempts = 1 + below(&mut luck, 4);
+        let n = 1 + below(&mut luck, 6) as usize;
+        let search = pass(json!({ "once": true, "attempts": attempts }));
+        let mut d = open(&world(&[("p", n)], vec![search]));
+        let mut now = NOW;
+        let mut out = call(&mut d, now, 1);
+        let (mut ran, mut sends, mut leafs) = (false, 0, Vec::new());
+        let mut end = None;
+        while let Some(s) = out.pop() {
+            assert!(out.is_empty(), "seed {seed}: two at once");
+            assert!(s.once && !ran, "seed {seed}: sent again after it may have run");
+            assert!(!leafs.contains(&s.leaf), "seed {seed}: the same leaf twice");
+            leafs.push(s.leaf.clone());
+            sends += 1;
+            // However long the leaf is silent, nobody else is asked meanwhile.
+            for _ in 0..below(&mut luck, 5) {
+                now += ms(below(&mut luck, 200));
+                let todo = wake(&mut d, now);
+                end = told(&todo).cloned().or(end);
+                assert!(sent(todo).is_empty(), "seed {seed}: a second beside the first");
+            }
+            if end.is_some() {
+                ran = true;
+                break;
+            }
+            let (got, may) = any_reply(&mut luck, &s);
+            ran |= may;
+            let todo = reply(&mut d, now, &s, got);
+            end = told(&todo).cloned();
+            out = sent(todo);
+        }
+        while end.is_none() {
+            let due = next(&d).unwrap();
+            let todo = wake(&mut d, due);
+            end = told(&todo).cloned();
+            assert!(sent(todo).is_empty(), "seed {seed}: sent late");
+        }
+        again += u64::from(sends > 1);
+        if let Some(Outcome::Bounce(b)) = end {
+            assert_eq!(b.ran, ran, "seed {seed}: {:?}", b.reason);
+            promised += u64::from(!b.ran);
+        }
+    }
+    // Both happen often enough for this to be worth something.
+    assert!(again > 300 && promised > 100, "{again} again, {promised} promised");
+}
+
+#[googletest::test]
+fn calls_follow_the_weights_and_never_a_weight_of_nothing() {
+    for weights in [json!({ "a": 3, "b": 1, "c": 0 }), json!({ "a": 0, "b": 1, "c": 3 })] {
+        let plan = "from pool in (\"a\", \"b\", \"c\") by pool; send one by weight";
+        let search = pass(json!({ "plan": plan, "weights": weights, "needs": ["a", "b", "c"] }));
+        let mut d = open(&world(&FOUR, vec![search]));
+        let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+        for i in 0..8_000 {
+            let list = call(&mut d, NOW, i);
+            *counts.entry(list[0].service.clone()).or_default() += 1;
+            reply(&mut d, NOW + 1, &list[0], Ok(good(&list[0])));
+        }
+        for (name, weight) in weights.as_object().unwrap() {
+            let (got, want) =
+                (counts.get(name).copied().unwrap_or(0), weight.as_u64().unwrap() * 2_000);
+            // Four standard deviations of 8,000 draws.
+            assert!(got.abs_diff(want) <= 160 && (want > 0 || got == 0), "{weights}: {counts:?}");
+        }
+    }
+}
+
+#[googletest::test]
+fn a_second_try_of_a_weighted_call_stays_with_the_drawn_service() {
+    let plan = "from pool in (\"a\", \"b\") by pool; send one by weight";
+    let search = pass(json!({ "plan": plan, "weights": { "a": 1, "b": 1 } }));
+    let w = world(&FOUR, vec![search]);
+    let mut drawn = Vec::new();
+    for i in 0..60 {
+        let mut d = open(&w);
+        d.luck = luck(i);
+        let list = call(&mut d, NOW, i);
+        drawn.push(list[0].service.clone());
+        let again = sent(reply(&mut d, NOW + 1, &list[0], Err(Trouble::Unreachable)));
+        expect_that!(again[0].service, eq(&list[0].service));
+    }
+    expect_that!(drawn.iter().any(|s| s == "a") && drawn.iter().any(|s| s == "b"), eq(true));
+}
+
+#[googletest::test]
+fn only_whole_successes_with_one_stamp_are_parts() {
+    // Guards against stamps in an answer that stand for no part.
+    let spoils: Vec<(&str, fn(&mut Raw))> = vec![
+        ("no stamp", |r| r.heads.postmarks.clear()),
+        ("two stamps", |r| r.heads.postmarks.push("other".into())),
+        ("foreign", |r| r.heads.foreign = true),
+        ("a failure with a stamp", |r| r.status = 500),
+        ("not found with a stamp", |r| r.status = 404),
+        ("moved with a stamp", |r| r.status = 302),
+        ("unrun", |r| (r.heads.unrun, r.status) = (true, 503)),
+        ("misdirected", |r| r.status = 421),
+    ];
+    for (name, spoil) in spoils {
+        let mut d = open(&world(&FOUR, vec![joined(json!({ "attempts": 1 }))]));
+        let list = call(&mut d, NOW, 1);
+        expect_that!(list.len(), eq(4));
+        let mut todo = Vec::new();
+        for s in &list {
+            let mut got = good(s);
+            if s.service == "b" {
+                spoil(&mut got);
+            }
+            todo = reply(&mut d, NOW + 5, s, Ok(got));
+        }
+        let j = of_parts(&todo);
+        expect_that!((j.missing, j.stamps.len()), eq((1, 3)), "{name}");
+        expect_that!(j.stamps.iter().any(|s| s.contains("stamp-b")), eq(false), "{name}");
+        // The body holds the records of just these parts.
+        expect_that!(j.body, eq(["d", "c", "a"].map(|s| s.repeat(16)).concat().as_bytes()));
+    }
+}
+
+#[googletest::test]
+fn below_its_quorum_a_join_is_never_a_success() {
+    for (quorum, parts, fine) in [
+        (0.5, 2, true),
+        (0.5, 1, false),
+        (0.9, 3, false),
+        (0.9, 4, true),
+        (0.01, 1, true),
+        (0.0, 0, false),
+    ] {
+        let search = joined(json!({ "quorum": quorum, "attempts": 1 }));
+        let mut d = open(&world(&FOUR, vec![search]));
+        let list = call(&mut d, NOW, 1);
+        let mut end = None;
+        for (i, s) in list.iter().enumerate() {
+            let got = if i < parts { Ok(good(s)) } else { Ok(raw(500, &["st"], b"")) };
+            let todo = reply(&mut d, NOW + 5, s, got);
+            end = end.or(told(&todo).cloned());
+        }
+        match end.unwrap() {
+            Outcome::Joined(j) => {
+                expect_that!((fine, j.missing, j.stamps.len()), eq((true, 4 - parts, parts)));
+            }
+            Outcome::Bounce(b) => expect_that!((fine, b.ran), eq((false, true))),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[googletest::test]
+fn at_the_target_a_quorum_is_told_with_what_is_missing() {
+    let mut d = open(&world(&FOUR, vec![joined(json!({ "attempts": 1 }))]));
+    let list = call(&mut d, NOW, 1);
+    for s in &list[..3] {
+        expect_that!(told(&reply(&mut d, NOW + 5, s, Ok(good(s)))).is_none(), eq(true));
+    }
+    let at = next(&d).unwrap();
+    expect_that!(at, lt(NOW + ms(100)), "there must be time for the way home");
+    expect_that!(at, ge(NOW + ms(80)));
+    expect_that!(told(&wake(&mut d, at - 1)).is_none(), eq(true));
+    let j = of_parts(&wake(&mut d, at));
+    expect_that!((j.missing, j.stamps.len()), eq((1, 3)));
+    // What is still out is not broken off, and counts until it has ended.
+    expect_that!(d.dispatches.len(), eq(1));
+    expect_that!(d.leafs[&list[3].leaf].live, eq(1));
+    reply(&mut d, at + 9, &list[3], Ok(good(&list[3])));
+    expect_that!(d.leafs[&list[3].leaf].live, eq(0));
+    // Two of four are a quorum here, but worth more whole and a little late.
+    let list = call(&mut d, NOW, 2);
+    for s in &list[..2] {
+        reply(&mut d, NOW + 5, s, Ok(good(s)));
+    }
+    expect_that!(told(&wake(&mut d, NOW + ms(99))).is_none(), eq(true));
+    let todo = wake(&mut d, NOW + ms(800));
+    expect_that!(of_parts(&todo).missing, eq(2));
+}
+
+#[googletest::test]
+fn joined_bodies_are_the_greatest_records_of_all_parts() {
+    // Guards against lost, doubled or misplaced records, and half ones.
+    for seed in 0..2_000 {
+        let mut luck = luck(seed);
+        let width = [1usize, 3, 16, 16, 16][below(&mut luck, 5) as usize];
+        let top = below(&mut luck, 30) as usize;
+        // Few different bytes, so that equal records are common.
+        let kinds = 1 + below(&mut luck, 4);
+        let mut all: Vec<Vec<u8>> = Vec::new();
+        let mut parts: Vec<Vec<u8>> = Vec::new();
+        for _ in 0..below(&mut luck, 6) {
+            let mut part = Vec::new();
+            for _ in 0..below(&mut luck, 20) {
+                let rec: Vec<u8> =
+                    (0..width).map(|_| (below(&mut luck, kinds) * 85) as u8).collect();
+                part.extend(&rec);
+                all.push(rec);
+            }
+            // A rest that is no record, made of the greatest bytes.
+            part.extend(vec![0xff; below(&mut luck, width as u64) as usize]);
+            parts.push(part);
+        }
+        all.sort_by(|a, b| b.cmp(a));
+        all.truncate(top);
+        let refs: Vec<&[u8]> = parts.iter().map(Vec::as_slice).collect();
+        assert_eq!(join(&refs, width, top), all.concat(), "seed {seed}");
+    }
+}
+
+#[googletest::test]
+fn a_silent_leaf_is_overtaken_after_the_learned_wait_by_another() {
+    let mut d = open(&world(&[("p", 4)], vec![pass(json!({ "attempts": 2 }))]));
+    // Before anything is learned, the wait is a share of the target.
+    let list = call(&mut d, NOW, 1);
+    expect_that!(next(&d), some(eq(NOW + ms(100) * consts::WAIT_TARGET_PCT / 100)));
+    reply(&mut d, NOW + ms(2), &list[0], Ok(good(&list[0])));
+    for i in 0..400 {
+        let list = call(&mut d, NOW + i, 10 + i);
+        reply(&mut d, NOW + i + ms(4), &list[0], Ok(good(&list[0])));
+    }
+    let at = NOW + SECOND;
+    let first = call(&mut d, at, 2);
+    let due = next(&d).unwrap();
+    expect_that!(due, gt(at + ms(4)));
+    expect_that!(due, lt(at + ms(20)));
+    expect_that!(sent(wake(&mut d, due - 1)).len(), eq(0));
+    let second = sent(wake(&mut d, due));
+    expect_that!(second.len(), eq(1));
+    expect_that!(second[0].leaf, not(eq(&first[0].leaf)));
+    // Attempts bound it: no third, however long both are silent.
+    for k in 1..60 {
+        expect_that!(sent(wake(&mut d, due + ms(10 * k))).len(), eq(0));
+    }
+    let todo = reply(&mut d, due + ms(600), &second[0], Ok(good(&second[0])));
+    expect_that!(passed(&todo).raw.status, eq(200));
+    // The loser is not dropped: its leaf works on it, and that counts.
+    expect_that!(todo.iter().any(|c| matches!(c, Command::Drop { .. })), eq(false));
+    expect_that!(d.leafs[&first[0].leaf].live, eq(1));
+    expect_that!(d.counts.trouble.get(&Trouble::Overtaken), some(eq(&1)));
+    expect_that!(reply(&mut d, due + ms(700), &first[0], Ok(good(&first[0]))).len(), eq(0));
+    expect_that!(d.leafs.values().map(|l| l.live).sum::<u64>(), eq(0));
+}
+
+#[googletest::test]
+fn second_tries_are_bounded_by_the_quota_of_their_own_service() {
+    // Guards against one service's trouble that eats the others' quota.
+    let to = |name: &str, path: &str, pool: &str| {
+        pass(json!({ "name": name, "path": path, "attempts": 10,
+            "plan": format!("from pool = \"{pool}\" by pool; send wide") }))
+    };
+    let w = world(&[("p", 9), ("q", 9)], vec![to("1", "/p/", "p"), to("2", "/q/", "q")]);
+    let mut d = open(&w);
+    let saved = (consts::RETRY_SLACK * consts::SECOND_KEEP_PCT / 100) as usize;
+    let mut seconds = 0;
+    let mut calls = 0;
+    while seconds < saved && calls < 100 {
+        calls += 1;
+        let mut out = sent(hand(&mut d, NOW, calls, "h.example", "/p/"));
+        while let Some(s) = out.pop() {
+            out = sent(reply(&mut d, NOW, &s, Err(Trouble::Cut)));
+            seconds += out.len();
+        }
+    }
+    expect_that!(seconds, ge(saved));
+    // Each further call earns a fifth of a try, and no more.
+    let mut more = 0;
+    for i in 0..50 {
+        let mut out = sent(hand(&mut d, NOW, 1_000 + i, "h.example", "/p/"));
+        while let Some(s) = out.pop() {
+            out = sent(reply(&mut d, NOW, &s, Err(Trouble::Cut)));
+            more += out.len();
+        }
+    }
+    expect_that!(more, le(10));
+    expect_that!(d.counts.denied, gt(0));
+    let first = sent(hand(&mut d, NOW, 5_000, "h.example", "/q/"));
+    let again = sent(reply(&mut d, NOW, &first[0], Err(Trouble::Cut)));
+    expect_that!(again.len(), eq(1), "the other service's quota is whole");
+}
+
+#[googletest::test]
+fn unreachable_leafs_cost_neither_a_try_nor_the_quota() {
+    let mut d = open(&world(&[("p", 8)], vec![pass(json!({ "attempts": 1, "once": true }))]));
+    quota::keep(&mut d.quota, |_| false);
+    let mut out = call(&mut d, NOW, 1);
+    let mut leafs = Vec::new();
+    for _ in 0..consts::UNREACHED_MAX {
+        let s = out.pop().unwrap();
+        leafs.push(s.leaf.clone());
+        out = sent(reply(&mut d, NOW, &s, Err(Trouble::Unreachable)));
+        expect_that!(out.len(), eq(1));
+        expect_that!(leafs.contains(&out[0].leaf), eq(false));
+    }
+    let todo = reply(&mut d, NOW, &out[0], Ok(good(&out[0])));
+    expect_that!(passed(&todo).raw.status, eq(200));
+    expect_that!(d.counts.seconds, eq(0));
+    // But a whole pool that can't be reached does not keep a call for ever.
+    let mut out = call(&mut d, NOW, 2);
+    let mut n = 0;
+    let mut end = None;
+    while let Some(s) = out.pop() {
+        n += 1;
+        let todo = reply(&mut d, NOW, &s, Err(Trouble::Unreachable));
+        end = told(&todo).cloned();
+        out = sent(todo);
+    }
+    expect_that!(n, eq(consts::UNREACHED_MAX + 1));
+    let Some(Outcome::Bounce(b)) = end else { panic!("no outcome") };
+    expect_that!(b.ran, eq(false), "nothing arrived anywhere");
+}
+
+#[googletest::test]
+fn leafs_that_leave_and_emptied_zones_get_no_second_tries() {
+    // Guards against work for leafs that were told off after the call came.
+    for (drained, leaving) in [("b", vec![]), ("none", vec!["p-1".to_string()])] {
+        let mut w = world(&[("p", 2)], vec![pass(json!({}))]);
+        let mut d = open(&w);
+        let list = call(&mut d, NOW, 1);
+        expect_that!(list[0].leaf, eq("p-0"), "the local zone is preferred");
+        (w.drained, w.leaving) = (drained, leaving);
+        step(&mut d, NOW + 1, Event::View(Arc::new(seen(&w))));
+        expect_that!(sent(wake(&mut d, NOW + ms(50))).len(), eq(0));
+        let todo = reply(&mut d, NOW + ms(60), &list[0], Err(Trouble::Cut));
+        expect_that!(bounced(&todo).ran, eq(true));
+        expect_that!(sent(todo).len(), eq(0));
+    }
+}
+
+/// Fills every leaf of a world of `n` leafs with one slot each.
+fn full(d: &mut Desk) -> Vec<Sending> {
+    let mut out = Vec::new();
+    for i in 0..1_000 {
+        let list = call(d, NOW, 100 + i);
+        if list.is_empty() {
+            step(d, NOW, Event::Gone { call: 100 + i });
+            return out;
+        }
+        out.extend(list);
+    }
+    panic!("leafs without bounds");
+}
+
+#[googletest::test]
+fn queued_calls_never_go_to_leafs_that_leave_or_to_emptied_zones() {
+    for (drained, leaving) in [("b", vec![]), ("none", vec!["p-1".to_string()])] {
+        let mut w = world(&[("p", 2)], vec![pass(json!({ "attempts": 1 }))]);
+        w.slots = 1;
+        let mut d = open(&w);
+        let out = full(&mut d);
+        expect_that!(call(&mut d, NOW, 1).len(), eq(0));
+        (w.drained, w.leaving) = (drained, leaving);
+        let mut todo = step(&mut d, NOW + 1, Event::View(Arc::new(seen(&w))));
+        for s in out.iter().filter(|s| s.leaf == "p-1") {
+            todo.extend(reply(&mut d, NOW + 2, s, Ok(good(s))));
+        }
+        expect_that!(sent(todo).len(), eq(0), "there is room only where nobody may go");
+        let own = out.iter().find(|s| s.leaf == "p-0").unwrap();
+        let list = sent(reply(&mut d, NOW + 3, own, Ok(good(own))));
+        expect_that!(list.len(), eq(1));
+        expect_that!(list[0].leaf, eq("p-0"));
+    }
+}
+
+#[googletest::test]
+fn a_call_that_finds_no_room_in_time_is_bounced_unrun() {
+    let mut w = world(&[("p", 2)], vec![pass(json!({ "once": true }))]);
+    w.slots = 1;
+    let mut d = open(&w);
+    let out = full(&mut d);
+    expect_that!(out.len(), ge(2));
+    expect_that!(call(&mut d, NOW, 1).len(), eq(0));
+    let hold = NOW + ms(100) * consts::HOLD_PCT / 100;
+    expect_that!(next(&d), some(eq(hold)));
+    expect_that!(told(&wake(&mut d, hold - 1)).is_none(), eq(true));
+    let todo = wake(&mut d, hold);
+    let b = bounced(&todo);
+    expect_that!((b.reason, b.ran), eq((Reason::NoRoom, false)));
+    expect_that!(b.again, some(gt(0)));
+    expect_that!(sent(todo).len(), eq(0));
+    // Room that comes in time is used.
+    expect_that!(call(&mut d, NOW, 2).len(), eq(0));
+    let list = sent(reply(&mut d, NOW + ms(5), &out[0], Ok(good(&out[0]))));
+    expect_that!(list.len(), eq(1));
+    expect_that!(list[0].leaf, eq(&out[0].leaf));
+}
+
+#[googletest::test]
+fn a_bounce_says_whether_other_shards_may_have_run() {
+    // Guards against the promise that nothing ran while leafs still work.
+    let mut w =
+        world(&[("a", 1), ("b", 1), ("c", 1), ("d", 0)], vec![joined(json!({ "quorum": 1.0 }))]);
+    let mut d = open(&w);
+    let todo = hand(&mut d, NOW, 1, "h.example", "/x/");
+    let b = bounced(&todo);
+    expect_that!((b.reason, b.ran), eq((Reason::NoLeafs, true)));
+    // Their leafs are at work, and are not called off.
+    expect_that!(d.dispatches.len(), eq(3));
+    // With no leaf at all nothing can have run.
+    w.services = vec![("a", 0), ("b", 0), ("c", 0), ("d", 0)];
+    let mut d = open(&w);
+    let b = bounced(&hand(&mut d, NOW, 1, "h.example", "/x/"));
+    expect_that!((b.reason, b.ran), eq((Reason::NoLeafs, false)));
+    // A leaf that is silent until the end may have run it.
+    let mut d = open(&world(&[("p", 1)], vec![pass(json!({}))]));
+    call(&mut d, NOW, 1);
+    let todo = wake(&mut d, NOW + ms(800));
+    let b = bounced(&todo);
+    expect_that!((b.reason, b.ran), eq((Reason::OutOfTime, true)));
+}
+
+#[googletest::test]
+fn whatever_comes_each_call_is_told_once_and_in_time() {
+    // Guards against calls that are lost, told twice or held beyond their end,
+    // and against leafs that count work which nobody has.
+    for seed in 0..150 {
+        let mut luck = luck(seed);
+        let mut w = world(
+            &[("p", 4), ("a", 2), ("b", 2), ("c", 1), ("d", 2)],
+            vec![
+                pass(json!({ "path": "/p/", "attempts": 3 })),
+                pass(json!({ "name": "once", "path": "/o/", "once": true, "attempts": 3 })),
+                joined(json!({ "name": "join", "path": "/j/" })),
+            ],
+        );
+        w.slots = 1 + below(&mut luck, 3) as u32;
+        let mut d = open(&w);
+        let mut now = NOW;
+        let mut out: Vec<Sending> = Vec::new();
+        let mut open: BTreeMap<u64, Tick> = BTreeMap::new();
+        let mut calls = 0;
+        let mut steps = 0;
+        while steps < 600 || !open.is_empty() {
+            steps += 1;
+            let event = match below(&mut luck, 10) {
+                0..3 if steps < 600 => {
+                    calls += 1;
+                    let path = ["/p/", "/o/", "/j/"][below(&mut luck, 3) as usize];
+                    let mut p = parcel("h.example", path);
+                    p.budget = Some(ms(1 + below(&mut luck, 900)));
+                    open.insert(calls, now + p.budget.unwrap());
+                    Event::Hand { call: calls, parcel: Arc::new(p) }
+                }
+                3..7 if !out.is_empty() => {
+                    let s = out.swap_remove(below(&mut luck, out.len() as u64) as usize);
+                    Event::Reply { dispatch: s.dispatch, got: any_reply(&mut luck, &s).0 }
+                }
+                7 if chance(&mut luck, 1, 8) => {
+                    w.drained = ["none", "a", "b"][below(&mut luck, 3) as usize];
+                    Event::View(Arc::new(seen(&w)))
+                }
+                8 if chance(&mut luck, 1, 8) && !open.is_empty() => {
+                    let i = draw(&mut luck) as usize % open.len();
+                    let gone = *open.keys().nth(i).unwrap();
+                    open.remove(&gone);
+                    Event::Gone { call: gone }
+                }
+                _ => {
+                    // Time goes on, but never past what the desk waits for.
+                    let due = next(&d).unwrap_or(Tick::MAX);
+                    now = (now + ms(below(&mut luck, 30))).min(due.max(now));
+                    Event::Wake
+                }
+            };
+            for command in step(&mut d, now, event) {
+                match command {
+                    Command::Send(s) => out.push(s),
+                    Command::Tell { call, .. } => {
+                        let end = open.remove(&call);
+                        assert!(end.is_some_and(|e| now <= e), "seed {seed}: call {call}, {end:?}");
+                    }
+                    Command::Drop { .. } => panic!("seed {seed}: work was broken off"),
+                    Command::Word { .. } => {}
+                }
+            }
+            for (name, leaf) in &d.leafs {
+                let live = out.iter().filter(|s| s.leaf == *name).count();
+                assert_eq!(leaf.live, live as u64, "seed {seed}: {name}");
+            }
+            assert!(steps < 100_000, "seed {seed}: {open:?}");
+        }
+        expect_that!(d.queries.len(), eq(0));
+    }
+}
