--- a/crates/grebe/src/config/build.rs
+++ b/crates/grebe/src/config/build.rs
@@ -121,9 +121,9 @@
         }
     }
     let drained = conf.zones.values().filter(|z| z.drained).map(|z| z.name.clone()).collect();
-    let mut places: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+    let mut places: BTreeMap<(String, &str), &str> = BTreeMap::new();
     for s in conf.searches.values().filter(|s| !s.host.is_empty()) {
-        if let Some(other) = places.insert((&s.host, &s.path), &s.name) {
+        if let Some(other) = places.insert((s.host.to_ascii_lowercase(), &s.path), &s.name) {
             let text = format!("`{other}` has the same host and path");
             find(&mut all, format!("searches[{}].path", s.name), text);
         }
