--- a/crates/grebe/tests/hand.rs
+++ b/crates/grebe/tests/hand.rs
@@ -170,6 +170,8 @@
     out
 }
 
+/// Makes a good reply a bad one.
+type Spoil = fn(&mut Raw);
 type Got = std::result::Result<Raw, Trouble>;
 
 fn reply(d: &mut Desk, now: Tick, s: &Sending, got: Got) -> Vec<Command> {
@@ -280,7 +282,7 @@
 #[googletest::test]
 fn answers_that_are_not_the_leafs_own_to_this_call_are_never_passed() {
     // Guards against another call's answer, or half of one, told as a success.
-    let spoils: Vec<(&str, fn(&mut Raw))> = vec![
+    let spoils: Vec<(&str, Spoil)> = vec![
         ("no stamp", |r| r.heads.postmarks.clear()),
         ("two stamps", |r| r.heads.postmarks.push("other".into())),
         ("foreign", |r| r.heads.foreign = true),
@@ -442,7 +444,7 @@
 #[googletest::test]
 fn only_whole_successes_with_one_stamp_are_parts() {
     // Guards against stamps in an answer that stand for no part.
-    let spoils: Vec<(&str, fn(&mut Raw))> = vec![
+    let spoils: Vec<(&str, Spoil)> = vec![
         ("no stamp", |r| r.heads.postmarks.clear()),
         ("two stamps", |r| r.heads.postmarks.push("other".into())),
         ("foreign", |r| r.heads.foreign = true),
