--- a/crates/grebe/tests/hand.rs
+++ b/crates/grebe/tests/hand.rs
@@ -94,7 +94,8 @@
 /// A search that joins the parts of services a, b, c and d.
 fn joined(more: Value) -> Value {
     let plan = "from pool in (\"a\", \"b\", \"c\", \"d\") by pool; send wide; prefer local";
-    let mut out = pass(json!({ "form": "join", "top": 5, "quorum": 0.5, "plan": plan }));
+    let mut out =
+        pass(json!({ "form": "join", "top": 5, "width": 16, "quorum": 0.5, "plan": plan }));
     for (k, v) in more.as_object().unwrap() {
         out[k] = v.clone();
     }
@@ -332,6 +333,20 @@
     expect_that!(sent(todo).len(), eq(0));
 }
 
+#[googletest::test]
+fn a_promise_that_the_leaf_did_not_make_is_not_given_back() {
+    // Guards against callers who try work again that has run.
+    for status in [408, 429, 503] {
+        for once in [false, true] {
+            let search = pass(json!({ "once": once, "attempts": 1 }));
+            let mut d = open(&world(&[("p", 2)], vec![search]));
+            let list = call(&mut d, NOW, 1);
+            let todo = reply(&mut d, NOW + 5, &list[0], Ok(raw(status, &["st"], b"")));
+            expect_that!(bounced(&todo).ran, eq(true), "{status}");
+        }
+    }
+}
+
 /// What a reply to a once-only call may be, and whether the leaf may have run it.
 fn any_reply(luck: &mut Luck, s: &Sending) -> (Got, bool) {
     match below(luck, 14) {
--- a/crates/programs/tests/foreign.rs
+++ b/crates/programs/tests/foreign.rs
@@ -100,7 +100,7 @@
                 "data_dir": if i < 3 { json!(data.display().to_string()) } else { Value::Null },
                 "tolerate": { "machines": 1, "zones": 1, "regions": 0 },
                 "bounds": { "grace_s": 6, "retry_ratio": 0.2, "retry_slack": 52 },
-                "provider": { "address": list.to_string() },
+                "provider": { "address": list.to_string(), "rate_per_s": 49.0 },
             });
             let text = manifest.join(format!("../../platform/{name}.json"));
             let text = std::fs::read_to_string(text).unwrap();
