--- /dev/null
+++ b/crates/grebe/tests/cold.rs
@@ -0,0 +1,68 @@
+//! The rate of cold leafs over all nodes, and who keeps each of them.
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use grebe::luck::{below, chance, luck};
+use grebe::query::cold::{keeps, saved, spend};
+use grebe::query::leaf::leaf;
+use grebe::query::wires::Peer;
+use grebe::time::{BOOT, SECOND, Tick, ms};
+
+fn nodes(n: usize) -> Vec<Peer> {
+    (0..n).map(|i| Peer { slot: i as u64 * 7_919 + 3, zone: "z".into() }).collect()
+}
+
+#[googletest::test]
+fn each_cold_leaf_has_one_keeper_and_all_nodes_keep_some() {
+    // Guards against two nodes that each send a cold leaf all it bears.
+    let peers = nodes(9);
+    let mut kept: BTreeMap<u64, u64> = BTreeMap::new();
+    for i in 0..900 {
+        let l = leaf(&format!("i-{i}"), BOOT);
+        let who: Vec<u64> =
+            peers.iter().filter(|p| keeps(&l, &peers, p.slot)).map(|p| p.slot).collect();
+        assert_eq!(who.len(), 1, "{}", l.thing);
+        *kept.entry(who[0]).or_default() += 1;
+        // Nobody else's leaf changes hands when a node goes.
+        let rest: Vec<Peer> = peers.iter().filter(|p| p.slot != peers[4].slot).cloned().collect();
+        let then = rest.iter().find(|p| keeps(&l, &rest, p.slot)).unwrap();
+        assert!(who[0] == peers[4].slot || then.slot == who[0]);
+        // Before anyone else is known, nobody sends.
+        assert!(!keeps(&l, &[], peers[0].slot));
+    }
+    assert!(kept.len() == 9 && kept.values().all(|n| (60..=140).contains(n)), "{kept:?}");
+}
+
+#[googletest::test]
+fn no_second_has_more_dispatches_to_a_cold_leaf_than_it_bears() {
+    // Guards against leafs that fall over while they warm up: the platform
+    // bears half as much again, and five more.
+    for seed in 0..40 {
+        let mut luck = luck(seed);
+        // Thousandths of a dispatch a second, from very few to many.
+        let rate = [200, 1_000, 2_500, 8_000, 60_000][seed as usize % 5];
+        let mut l = leaf("i", BOOT);
+        let mut now = BOOT;
+        let mut sent: Vec<Tick> = Vec::new();
+        let mut eager = true;
+        for _ in 0..20_000 {
+            now += below(&mut luck, ms(4));
+            if chance(&mut luck, 1, 400) {
+                eager = !eager;
+            }
+            while eager && saved(&l, rate, now) >= 1_000 {
+                spend(&mut l, rate, now);
+                sent.push(now);
+            }
+        }
+        for (i, at) in sent.iter().enumerate() {
+            let n = sent[i..].iter().take_while(|t| **t < at + SECOND).count() as u64;
+            let most = rate * 3 / 2 / 1_000 + 5;
+            assert!(n <= most, "seed {seed}, rate {rate}: {n} of {most} in a second");
+        }
+        // And it is used, though there is work for half of the time only.
+        let bears = rate * (now - BOOT) / SECOND / 1_000;
+        assert!(sent.len() as u64 * 5 >= bears, "seed {seed}: {} of {bears}", sent.len());
+    }
+}
