Weigh control at the size to design for: a hollow fleet of the owners

Cause: nobody could say what control costs at 1,200 nodes and 5,300 leafs; the figures so far were one count at 10, 50 and 200 members, without processor time.

Change: `grebehollow` drives the daemons' own `step` of queriers and controllers in virtual time. Every message is written, cut into pieces, and read again as on a wire, so bytes are counted and processor time is measured by role. 14 zones in 5 regions, 1,300 shards. It prints state, messages and bytes a second by kind, processor time, and what a change, a leaf, a member, and restarts of 1%, of a zone and of all cost. A seed replays all but the lines marked `~`.

Tests: the same seed gives the same lines, all sizes come back whole.

--- /dev/null
+++ b/crates/sim/src/bin/grebehollow.rs
@@ -0,0 +1,7 @@
+//! Weighs what control costs at a size.
+
+use sim::hollow::cli;
+
+fn main() {
+    cli::run(&cli::options().run());
+}
--- /dev/null
+++ b/crates/sim/src/hollow/cost.rs
@@ -0,0 +1,80 @@
+//! What things cost: messages, bytes, processor time.
+
+use std::collections::BTreeMap;
+
+use grebe::wire::msg::Msg;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Messages and their bytes.
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
+pub struct Cell {
+    pub n: u64,
+    pub bytes: u64,
+}
+
+/// What one node spent since it was last reset.
+#[derive(Clone, Copy, Default)]
+pub struct Meter {
+    pub sent: Cell,
+    pub got: Cell,
+    /// Events that its owner took.
+    pub steps: u64,
+    /// Processor time in `step`, and in writing and reading messages (ns).
+    pub step_ns: u64,
+    pub code_ns: u64,
+    /// What it gave to its disk (bytes), and in how many writes.
+    pub disk: Cell,
+}
+
+/// Messages by what carries them and by kind.
+pub type Ways = BTreeMap<(&'static str, &'static str), Cell>;
+
+/// Adds one message.
+pub fn add(cell: &mut Cell, bytes: usize) {
+    cell.n += 1;
+    cell.bytes += bytes as u64;
+}
+
+/// Processor time of this thread so far (ns).
+pub fn cpu() -> u64 {
+    let t = clock_gettime(ClockId::ThreadCPUTime);
+    t.tv_sec as u64 * 1_000_000_000 + t.tv_nsec as u64
+}
+
+/// Runs `f` and adds what it took.
+pub fn timed<T>(sum: &mut u64, f: impl FnOnce() -> T) -> T {
+    let from = cpu();
+    let out = f();
+    *sum += cpu() - from;
+    out
+}
+
+/// Memory of this whole process (bytes), as the system counts it.
+pub fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or_default();
+    line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) * 1024
+}
+
+/// The kind of a message.
+pub fn kind(msg: &Msg) -> &'static str {
+    match msg {
+        Msg::Hello { .. } => "hello",
+        Msg::Whole { .. } => "whole",
+        Msg::Change { .. } => "change",
+        Msg::Kept { .. } => "kept",
+        Msg::Beat { .. } => "beat",
+        Msg::Beaten { .. } => "beaten",
+        Msg::Follow { .. } => "follow",
+        Msg::News { .. } => "news",
+        Msg::Reach { .. } => "reach",
+        Msg::Renew { .. } => "renew",
+        Msg::Tenure { .. } => "tenure",
+        Msg::Tell { .. } => "tell",
+        Msg::Gossip { .. } => "gossip",
+        Msg::Listed { .. } => "listed",
+        Msg::Words { .. } => "words",
+        Msg::Operate { .. } | Msg::Operated { .. } => "operate",
+        _ => "claim",
+    }
+}
--- /dev/null
+++ b/crates/sim/src/hollow/does.rs
@@ -0,0 +1,237 @@
+//! What happens to nodes, and what they do about it.
+
+use std::rc::Rc;
+
+use grebe::cohort::step as qstep;
+use grebe::cohort::watch as wat;
+use grebe::disk::write;
+use grebe::edge::list;
+use grebe::names::Seat;
+use grebe::state::core as st;
+use grebe::state::step as cstep;
+use grebe::time::{BOOT, MILLI, ms};
+use grebe::wire::frame;
+use grebe::wire::msg::{Msg, Word};
+
+use super::cost::{add, kind, timed};
+use super::plan;
+use super::world::*;
+use crate::vdisk::{self, Job};
+
+/// Messages from here on are kept once however many get them (bytes): it
+/// saves this process's memory and changes no count.
+const SHARED: usize = 4_096;
+
+/// Something happens.
+pub fn happen(w: &mut World, hap: Hap) {
+    match hap {
+        Hap::SeatWake { s, life } if alive(w, s, life) => {
+            push(w, cstep::WAKE, Hap::SeatWake { s, life });
+            step_seat(w, s, st::Event::Wake);
+        }
+        Hap::SeatGets { s, life, from, raw } if alive(w, s, life) => {
+            let n = &mut w.seats[s];
+            add(&mut n.meter.got, size(&raw));
+            let Some(msg) = timed(&mut n.meter.code_ns, || read(&raw)) else { return };
+            let event = match from {
+                From::Seat(seat) => st::Event::FromSeat { seat, msg },
+                From::Front(f, life) => st::Event::FromWire { wire: wire(f, life), msg },
+            };
+            step_seat(w, s, event);
+        }
+        Hap::SeatTakes { s, life, event } if alive(w, s, life) => step_seat(w, s, *event),
+        Hap::Disk { s, life, part, token } if alive(w, s, life) => {
+            let event = match vdisk::done(&mut w.seats[s].disk, part, token) {
+                Some(Ok(())) => st::Event::Synced { part, token },
+                Some(Err(why)) => st::Event::DiskTrouble { part, why },
+                None => return,
+            };
+            step_seat(w, s, event);
+        }
+        Hap::FrontWake { f, life } if live(w, f, life) => {
+            push(w, qstep::WAKE, Hap::FrontWake { f, life });
+            step_front(w, f, wat::Event::Wake);
+        }
+        Hap::FrontGets { f, life, from, raw } if live(w, f, life) => {
+            let n = &mut w.fronts[f];
+            add(&mut n.meter.got, size(&raw));
+            let Some(msg) = timed(&mut n.meter.code_ns, || read(&raw)) else { return };
+            let event = match from {
+                From::Seat(seat) => wat::Event::FromSeat { seat, msg },
+                From::Front(g, _) => {
+                    wat::Event::FromMember { name: w.fronts[g].me.name.clone(), msg }
+                }
+            };
+            step_front(w, f, event);
+        }
+        Hap::FrontTakes { f, life, event } if live(w, f, life) => step_front(w, f, *event),
+        Hap::List { f, life } if live(w, f, life) => {
+            let text = w.list.clone();
+            add(&mut w.polls, text.len());
+            let n = &mut w.fronts[f];
+            n.polling = false;
+            let got = timed(&mut n.meter.code_ns, || list::read(text.as_bytes()));
+            let got = got.map(|(all, _)| all).map_err(|f| f.to_string());
+            step_front(w, f, wat::Event::List(got));
+        }
+        Hap::StartFront { f } if !w.fronts[f].up => start_front(w, f),
+        Hap::StartSeat { s } if !w.seats[s].up => start_seat(w, s),
+        _ => {}
+    }
+}
+
+fn alive(w: &World, s: usize, life: u64) -> bool {
+    w.seats[s].up && w.seats[s].life == life
+}
+
+fn live(w: &World, f: usize, life: u64) -> bool {
+    w.fronts[f].up && w.fronts[f].life == life
+}
+
+fn size(raw: &Raw) -> usize {
+    raw.iter().map(Vec::len).sum()
+}
+
+/// Reads a message as a wire does.
+fn read(raw: &Raw) -> Option<Msg> {
+    let mut g = frame::Gather::default();
+    for piece in raw.iter() {
+        let (head, body) = piece.split_first_chunk::<{ frame::HEAD }>()?;
+        let head = frame::head(head).ok()?;
+        if let Some(msg) = frame::take(&mut g, &head, body).ok()? {
+            return Some(msg);
+        }
+    }
+    None
+}
+
+fn step_seat(w: &mut World, s: usize, event: st::Event) {
+    let n = &mut w.seats[s];
+    let local = w.now - n.began + BOOT;
+    n.meter.steps += 1;
+    let todo = timed(&mut n.meter.step_ns, || cstep::step(&mut n.core, local, event));
+    for command in todo {
+        seat_does(w, s, command);
+    }
+}
+
+fn seat_does(w: &mut World, s: usize, command: st::Command) {
+    let life = w.seats[s].life;
+    let here = plan::seat_zone(s as Seat);
+    let from = From::Seat(s as Seat);
+    match command {
+        st::Command::ToSeat { seat, msg } => {
+            let to = usize::from(seat);
+            let raw = seat_writes(w, s, "seat-seat", &msg);
+            let at = arrival(w, (s, here), (to, plan::seat_zone(seat)));
+            let life = w.seats[to].life;
+            push_at(w, at, Hap::SeatGets { s: to, life, from, raw });
+        }
+        st::Command::ToWire { wire, msg } => {
+            let (f, life) = ((wire >> 32) as usize, wire & 0xffff_ffff);
+            let raw = seat_writes(w, s, "seat-front", &msg);
+            let at = arrival(w, (s, here), (f + w.seats.len(), w.fronts[f].zone));
+            push_at(w, at, Hap::FrontGets { f, life, from, raw });
+        }
+        st::Command::Append { part, token, rec } => {
+            add(&mut w.seats[s].meter.disk, write::rec(0, 0, &rec).len());
+            job(w, s, part, token, Job::Append(rec));
+        }
+        st::Command::Slot { part, token, copy } => {
+            add(&mut w.seats[s].meter.disk, write::slot(part.0, 0, &copy).len());
+            job(w, s, part, token, Job::Slot(copy));
+        }
+        st::Command::Look { part } => {
+            let event = Box::new(st::Event::Looked { part, trouble: None });
+            push(w, ms(3), Hap::SeatTakes { s, life, event });
+        }
+        st::Command::Tell { op, done } => {
+            w.done.insert(op, (w.now, done));
+        }
+        st::Command::Alarm(text) => *w.alarms.entry(text).or_default() += 1,
+    }
+}
+
+fn seat_writes(w: &mut World, s: usize, way: &'static str, msg: &Msg) -> Raw {
+    let n = &mut w.seats[s];
+    let mut raw = Rc::new(timed(&mut n.meter.code_ns, || frame::pieces(&frame::write(msg))));
+    let bytes = size(&raw);
+    if bytes >= SHARED {
+        match &n.last {
+            Some(last) if **last == *raw => raw = last.clone(),
+            _ => n.last = Some(raw.clone()),
+        }
+    }
+    add(&mut n.meter.sent, bytes);
+    add(w.ways.entry((way, kind(msg))).or_default(), bytes);
+    raw
+}
+
+fn job(w: &mut World, s: usize, part: grebe::names::PartId, token: u64, job: Job) {
+    let life = w.seats[s].life;
+    let at = vdisk::begin(&mut w.seats[s].disk, w.now, part, token, job, &mut w.luck);
+    if let Some(at) = at {
+        push_at(w, at, Hap::Disk { s, life, part, token });
+    }
+}
+
+fn step_front(w: &mut World, f: usize, event: wat::Event) {
+    let n = &mut w.fronts[f];
+    let local = w.now - n.began + BOOT;
+    n.meter.steps += 1;
+    let todo = timed(&mut n.meter.step_ns, || qstep::step(&mut n.watch, local, event));
+    for command in todo {
+        front_does(w, f, command);
+    }
+}
+
+fn front_does(w: &mut World, f: usize, command: wat::Command) {
+    let (life, here) = (w.fronts[f].life, w.fronts[f].zone);
+    let (from, own) = (From::Front(f, life), f + w.seats.len());
+    match command {
+        wat::Command::ToSeat { seat, msg } => {
+            let s = usize::from(seat);
+            let raw = front_writes(w, f, "front-seat", &msg);
+            let at = arrival(w, (own, here), (s, plan::seat_zone(seat)));
+            let life = w.seats[s].life;
+            push_at(w, at, Hap::SeatGets { s, life, from, raw });
+        }
+        wat::Command::ToMember { name, msg, .. } => {
+            let raw = front_writes(w, f, "front-front", &msg);
+            let Some(to) = w.by_name.get(&name).copied() else { return };
+            let at = arrival(w, (own, here), (to + w.seats.len(), w.fronts[to].zone));
+            let life = w.fronts[to].life;
+            push_at(w, at, Hap::FrontGets { f: to, life, from, raw });
+        }
+        wat::Command::Ready(ready) => w.fronts[f].ready = ready,
+        wat::Command::PollList if !w.fronts[f].polling => {
+            w.fronts[f].polling = true;
+            push(w, 2 * MILLI, Hap::List { f, life });
+        }
+        wat::Command::Probe(list) => {
+            w.probes += list.len() as u64;
+            for info in list {
+                let word =
+                    Word { leaf: info.leaf.clone(), age_ms: plan::OLD_MS, ..Word::default() };
+                let event = Box::new(wat::Event::Word { service: info.service.clone(), word });
+                push(w, 2 * MILLI, Hap::FrontTakes { f, life, event });
+            }
+        }
+        wat::Command::Alarm(text) => *w.alarms.entry(text).or_default() += 1,
+        // What threads are told costs no message.
+        _ => {}
+    }
+}
+
+fn front_writes(w: &mut World, f: usize, way: &'static str, msg: &Msg) -> Raw {
+    let n = &mut w.fronts[f];
+    let raw = timed(&mut n.meter.code_ns, || frame::pieces(&frame::write(msg)));
+    let bytes = size_of(&raw);
+    add(&mut n.meter.sent, bytes);
+    add(w.ways.entry((way, kind(msg))).or_default(), bytes);
+    Rc::new(raw)
+}
+
+fn size_of(raw: &[Vec<u8>]) -> usize {
+    raw.iter().map(Vec::len).sum()
+}
--- /dev/null
+++ b/crates/sim/src/hollow/mod.rs
@@ -0,0 +1,16 @@
+//! A hollow fleet: the daemons' own owners at the size to design for, without
+//! callers and without threads. Every message is written and read in its real
+//! form, so what it costs is counted, not guessed.
+//!
+//! Time is virtual and a seed replays a run. Only processor time and the
+//! process's memory differ between two runs of the same seed.
+
+pub mod cli;
+pub mod cost;
+pub mod does;
+pub mod fan;
+pub mod phases;
+pub mod plan;
+pub mod show;
+pub mod weight;
+pub mod world;
--- /dev/null
+++ b/crates/sim/src/hollow/plan.rs
@@ -0,0 +1,119 @@
+//! The plan of a hollow fleet: its zones, its leafs and its configuration.
+
+use grebe::luck::{Luck, below};
+use grebe::names::Seat;
+use grebe::time::{Span, ms};
+use grebe::view::leafs::LeafInfo;
+use serde_json::{Value, json};
+
+/// Zones (count), and the regions they lie in (count): issue 11.
+pub const ZONES: usize = 14;
+pub const REGIONS: usize = 5;
+/// Leafs that hold the same shard (count): 5,300 leafs over 1,300 shards.
+pub const LEAFS_A_SHARD: usize = 4;
+/// Shards of one search (count), at most: issue 11 asks 1,300 leafs a query.
+pub const SHARDS: usize = 1_300;
+/// One way within a zone, between zones of a region, and for each region that
+/// lies between: common figures of cloud providers, not measured by us.
+const NEAR: Span = 80;
+const REGION: Span = 500;
+const FAR: Span = ms(12);
+/// Chance's part of a way, as a part of it (percent).
+const WOBBLE_PCT: u64 = 50;
+/// Age that leafs tell (ms): old enough that ages cost nothing any more.
+pub const OLD_MS: u64 = grebe::consts::AGE_TOLD_MS;
+
+/// A size to measure.
+#[derive(Clone, Copy)]
+pub struct Size {
+    pub members: usize,
+    pub leafs: usize,
+}
+
+/// The zone of the `n`th of many things.
+pub fn zone(n: usize) -> usize {
+    n % ZONES
+}
+
+/// The region of a zone.
+pub fn region(zone: usize) -> usize {
+    zone * REGIONS / ZONES
+}
+
+/// A zone's name.
+pub fn name(zone: usize) -> String {
+    format!("r{}-z{zone}", region(zone))
+}
+
+/// The zone in which a seat stands: each in a region of its own.
+pub fn seat_zone(seat: Seat) -> usize {
+    usize::from(seat) * ZONES / REGIONS % ZONES + 1
+}
+
+/// One way between two zones.
+pub fn way(a: usize, b: usize, luck: &mut Luck) -> Span {
+    let gap = region(a).abs_diff(region(b)) as Span;
+    let base = match (a == b, gap) {
+        (true, _) => NEAR,
+        (false, 0) => REGION,
+        (false, n) => FAR * n,
+    };
+    base + below(luck, base * WOBBLE_PCT / 100)
+}
+
+/// The shard of the `n`th leaf.
+fn shard(n: usize, leafs: usize) -> usize {
+    n % leafs.div_ceil(LEAFS_A_SHARD).clamp(1, SHARDS)
+}
+
+/// The service of a shard.
+fn service(shard: usize) -> String {
+    format!("index-shard-{shard:04}")
+}
+
+/// The `n`th leaf, as the platform names it.
+pub fn leaf(n: usize, leafs: usize) -> LeafInfo {
+    let shard = shard(n, leafs);
+    let labels = [("zone", name(zone(n))), ("cut", "w48".into()), ("shard", format!("{shard}"))];
+    LeafInfo {
+        leaf: format!("index-shard-{shard:04}-{:08x}", grebe::luck::mix(n as u64) as u32),
+        service: service(shard),
+        addr: format!("10.{}.{}.{}:8080", n >> 16, (n >> 8) & 255, n & 255),
+        labels: labels.into_iter().map(|(k, v)| (k.to_string(), v)).collect(),
+        leaving: false,
+        age_ms: 0,
+    }
+}
+
+/// The platform's list of these leafs.
+pub fn list(leafs: &[LeafInfo]) -> String {
+    let entry = |l: &LeafInfo| json!({ "leaf": l.leaf, "service": l.service, "addr": l.addr, "labels": l.labels });
+    json!({ "leafs": leafs.iter().map(entry).collect::<Vec<_>>() }).to_string()
+}
+
+/// The configuration: a wide search over all shards and a lookup of one.
+pub fn config(leafs: usize) -> Value {
+    let shards = leafs.div_ceil(LEAFS_A_SHARD).clamp(1, SHARDS);
+    let pools: Vec<Value> = (0..shards)
+        .map(|s| {
+            let labels = json!({ "index": "all", "cut": "w48", "shard": s.to_string() });
+            let name = format!("all-w48-{s:04}");
+            json!({ "name": name, "service": service(s), "bears": 64, "labels": labels })
+        })
+        .collect();
+    let from = "from index = \"all\" and cut = \"w48\" by shard\n";
+    let wide = format!("{from}send wide\nwait 30%\nstop at quorum after 80%\nprefer local");
+    let one = format!("{from}send one by key\nwait 30%\nprefer any");
+    let zones: Vec<Value> =
+        (0..ZONES).map(|z| json!({ "name": name(z), "state": "open" })).collect();
+    json!({
+        "searches": [
+            { "name": "wide", "class": "ordinary", "promise_ms": 400, "quorum": 0.95,
+              "attempts": 2, "plan": wide },
+            { "name": "one", "class": "lookup", "promise_ms": 400, "quorum": 1.0,
+              "attempts": 3, "plan": one },
+        ],
+        "pools": pools,
+        "zones": zones,
+    })
+}
--- /dev/null
+++ b/crates/sim/src/hollow/show.rs
@@ -0,0 +1,123 @@
+//! What was found, as text. Lines that begin with `~` hold what differs from
+//! run to run: processor time and this process's memory.
+
+use std::fmt::Write;
+
+use grebe::time::{MILLI, SECOND, Span};
+
+use super::cost::{Cell, Meter};
+use super::phases::{Event, Found, Sum};
+
+/// All lines of one size.
+pub fn text(f: &Found) -> String {
+    let mut out = String::new();
+    let o = &mut out;
+    let _ = writeln!(o, "== {} members, {} leafs ==", f.size.members, f.size.leafs);
+    let _ = writeln!(o, "state of a querier      {:>12} bytes", f.calm.front_state);
+    let _ = writeln!(o, "state of a controller   {:>12} bytes", f.calm.seat_state);
+    let _ = writeln!(o, "what is stored          {:>12} bytes", f.calm.stored);
+    let _ = writeln!(o, "the platform's list     {:>12} bytes", f.calm.list_bytes);
+    let _ = writeln!(o, "~ memory of the process {:>12} bytes", f.resident);
+    let _ = writeln!(o, "alarms                  {:>12}", f.alarms);
+    rates(o, &f.calm.sum);
+    let _ = writeln!(o, "first start: whole after {}", span(f.start));
+    total(o, &f.start_sum, &f.start_sum, f.size.members);
+    for (name, event) in &f.events {
+        happened(o, name, event, &f.calm.sum, f.size.members);
+    }
+    out
+}
+
+fn rate(n: u64, span: Span) -> f64 {
+    n as f64 * SECOND as f64 / span.max(1) as f64
+}
+
+fn rates(o: &mut String, sum: &Sum) {
+    let _ = writeln!(o, "calm, {} s, a second:", sum.span / SECOND);
+    let _ = writeln!(o, "  {:<24} {:>12} {:>14}", "kind", "messages", "bytes");
+    for ((way, kind), c) in &sum.ways {
+        let name = format!("{way} {kind}");
+        let (n, bytes) = (rate(c.n, sum.span), rate(c.bytes, sum.span));
+        let _ = writeln!(o, "  {name:<24} {n:>12.1} {bytes:>14.0}");
+    }
+    let (n, bytes) = (rate(sum.polls.n, sum.span), rate(sum.polls.bytes, sum.span));
+    let _ = writeln!(o, "  {:<24} {n:>12.1} {bytes:>14.0}", "polls of the list");
+    let _ = writeln!(o, "  {:<24} {:>12.1}", "probes of leafs", rate(sum.probes, sum.span));
+    for (name, list) in [("querier", &sum.fronts), ("controller", &sum.seats)] {
+        node(o, name, list, sum.span);
+    }
+}
+
+/// Mean and worst of all nodes of a role.
+fn node(o: &mut String, name: &str, list: &[Meter], span: Span) {
+    let n = list.len().max(1) as f64;
+    let both = |m: &Meter| m.sent.bytes + m.got.bytes;
+    let mean = |f: &dyn Fn(&Meter) -> u64| list.iter().map(|m| rate(f(m), span)).sum::<f64>() / n;
+    let most =
+        |f: &dyn Fn(&Meter) -> u64| list.iter().map(|m| rate(f(m), span)).fold(0.0, f64::max);
+    let _ = writeln!(
+        o,
+        "  a {name}: sent {:.1} messages {:.0} bytes, got {:.1} messages {:.0} bytes, \
+         worst {:.0} bytes, {:.0} steps",
+        mean(&|m| m.sent.n),
+        mean(&|m| m.sent.bytes),
+        mean(&|m| m.got.n),
+        mean(&|m| m.got.bytes),
+        most(&both),
+        mean(&|m| m.steps),
+    );
+    let _ = writeln!(
+        o,
+        "~ a {name}: processor {:.2}% in step, {:.2}% in writing and reading; worst {:.2}%",
+        mean(&|m| m.step_ns) / 1e7,
+        mean(&|m| m.code_ns) / 1e7,
+        most(&|m| m.step_ns + m.code_ns) / 1e7,
+    );
+}
+
+fn span(s: Option<Span>) -> String {
+    s.map_or("never".into(), |s| format!("{} ms", s / MILLI))
+}
+
+fn happened(o: &mut String, name: &str, e: &Event, calm: &Sum, members: usize) {
+    let told = e.told.map_or(String::new(), |t| format!("accepted after {}, ", t / MILLI));
+    let _ = writeln!(o, "{name}: {told}last member after {}", span(e.last));
+    total(o, &e.sum, &over(&e.sum, calm), members);
+}
+
+/// What passed beyond that of a calm time of the same length.
+fn over(sum: &Sum, calm: &Sum) -> Sum {
+    let part = |n: u64| (n as f64 * sum.span as f64 / calm.span.max(1) as f64) as u64;
+    let mut out = sum.clone();
+    for (key, cell) in &mut out.ways {
+        let base = calm.ways.get(key).copied().unwrap_or(Cell::default());
+        cell.n = cell.n.saturating_sub(part(base.n));
+        cell.bytes = cell.bytes.saturating_sub(part(base.bytes));
+    }
+    out
+}
+
+/// The kinds that made most bytes beyond calm, and processor time in all.
+fn total(o: &mut String, sum: &Sum, over: &Sum, members: usize) {
+    let mut list: Vec<_> = over.ways.iter().collect();
+    list.sort_by_key(|(key, c)| (std::cmp::Reverse(c.bytes), **key));
+    let n: u64 = list.iter().map(|(_, c)| c.n).sum();
+    let bytes: u64 = list.iter().map(|(_, c)| c.bytes).sum();
+    let each = bytes / members.max(1) as u64;
+    let _ = writeln!(o, "  beyond calm: {n} messages, {bytes} bytes, {each} bytes a member");
+    for ((way, kind), c) in list.into_iter().take(4).filter(|(_, c)| c.bytes > 0) {
+        let name = format!("{way} {kind}");
+        let _ = writeln!(o, "    {name:<24} {:>10} messages {:>14} bytes", c.n, c.bytes);
+    }
+    let disk: u64 = sum.seats.iter().map(|m| m.disk.bytes).sum();
+    let syncs: u64 = sum.seats.iter().map(|m| m.disk.n).sum();
+    let _ = writeln!(o, "  disks of all controllers: {syncs} writes, {disk} bytes");
+    let most = |list: &[Meter]| list.iter().map(|m| m.step_ns + m.code_ns).max().unwrap_or(0);
+    let _ = writeln!(
+        o,
+        "~ processor time of the busiest: querier {:.1} ms, controller {:.1} ms, in {} ms",
+        most(&sum.fronts) as f64 / 1e6,
+        most(&sum.seats) as f64 / 1e6,
+        sum.span / MILLI,
+    );
+}
--- /dev/null
+++ b/crates/sim/src/hollow/weight.rs
@@ -0,0 +1,97 @@
+//! How heavy the owners' state is. Counted by walking it, since the project
+//! has no allocator of its own: lengths are exact, what the allocator adds is
+//! taken from the constants below. The process's own memory checks the sum.
+
+use grebe::cohort::watch::Watch;
+use grebe::config::build::Built;
+use grebe::state::core::Core;
+use grebe::view::leafs::LeafInfo;
+use grebe::view::whole::View;
+use grebe::wire::msg::{Cohort, Map, Member};
+
+/// What the allocator adds to a block (bytes).
+const BLOCK: usize = 16;
+/// Bytes of a text or list beside what it holds.
+const TEXT: usize = 24 + BLOCK;
+/// An entry of a tree of texts: nodes are some 70% full.
+const TREE: usize = 12;
+/// An entry of an index map beside key and value: hash, place, empty room.
+const INDEX: usize = 24;
+/// An `Arc`'s counts with its block.
+const ARC: usize = 16 + BLOCK;
+
+fn text(s: &str) -> usize {
+    TEXT + s.len()
+}
+
+/// A part's contents.
+pub fn map(m: &Map) -> usize {
+    m.iter().map(|(k, v)| text(k) + TEXT + v.len() + TREE).sum()
+}
+
+fn leaf(l: &LeafInfo) -> usize {
+    let labels: usize = l.labels.iter().map(|(k, v)| text(k) + text(v)).sum();
+    // A tree's first node has room for eleven entries, however few there are.
+    let node = 11 * 48 + BLOCK;
+    std::mem::size_of::<LeafInfo>()
+        + l.leaf.len()
+        + l.service.len()
+        + l.addr.len()
+        + 3 * BLOCK
+        + labels
+        + node
+        + ARC
+}
+
+fn built(b: &Built) -> usize {
+    let pool = |p: &grebe::config::build::PoolPlan| {
+        std::mem::size_of_val(p) + p.name.len() + p.service.len() + 3 * BLOCK
+    };
+    let shard = |s: &grebe::config::build::Shard| {
+        text(&s.name) + TEXT + s.pools.iter().map(pool).sum::<usize>()
+    };
+    b.mappings.values().map(|m| m.shards.iter().map(shard).sum::<usize>()).sum()
+}
+
+fn view(v: &View) -> usize {
+    let leafs: usize = v.leafs.values().map(|l| leaf(l) + text(&l.leaf) + 8 + INDEX + 8).sum();
+    let services: usize = v.services.keys().map(|s| text(s) + TEXT + INDEX).sum();
+    // The mappings stand in the built configuration and once more by name.
+    leafs + services + 2 * built(&v.built)
+}
+
+fn member(m: &Member) -> usize {
+    std::mem::size_of_val(m) + m.name.len() + m.addr.len() + m.zone.len() + 3 * BLOCK
+}
+
+fn cohort(c: &Cohort) -> usize {
+    c.members.iter().map(member).sum()
+}
+
+/// A querier's control state.
+pub fn watch(w: &Watch) -> usize {
+    let held: usize = w.held.values().map(|h| map(&h.map)).sum();
+    let shared: usize = w.shared.iter().map(|(n, _)| text(n) + 8).sum();
+    let shown = w.view.as_ref().map_or(0, |v| view(v));
+    held + shared + cohort(&w.cohort) + shown
+}
+
+/// A controller's state.
+pub fn core(c: &Core) -> usize {
+    let entries = |list: &Vec<grebe::config::change::Entry>| -> usize {
+        list.iter().map(|(k, v)| text(k) + TEXT + v.as_ref().map_or(0, Vec::len)).sum()
+    };
+    let parts: usize = c
+        .parts
+        .iter()
+        .map(|p| {
+            let feed: usize = p.changes.iter().map(|(_, list)| entries(list)).sum();
+            let seed = p.seed.as_ref().map_or(0, |(_, m)| map(m));
+            map(&p.copy.map) + map(&p.shown) + feed + seed
+        })
+        .sum();
+    let heard: usize = c.members.heard.values().map(|h| 2 * member(&h.member) + 80).sum();
+    let wires: usize = c.members.wires.keys().map(|n| text(n) + 8 + INDEX).sum();
+    let follow: usize = c.followers.values().map(|f| 200 + 16 * f.len() + INDEX).sum();
+    parts + heard + wires + follow + cohort(&c.members.cohort)
+}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backs;
 pub mod chaos;
 pub mod check;
+pub mod hollow;
 pub mod net;
 pub mod oracle;
 pub mod report;
--- /dev/null
+++ b/crates/sim/tests/hollow.rs
@@ -0,0 +1,72 @@
+//! The hollow fleet at small sizes: it comes up, replays, and grows as it must.
+
+use googletest::prelude::*;
+use grebe::time::SECOND;
+use sim::hollow::phases::{Found, Wish, measure};
+use sim::hollow::plan::{self, Size};
+use sim::hollow::show;
+use sim::hollow::world;
+
+fn found(members: usize, leafs: usize, seed: u64) -> Found {
+    let wish = Wish { calm: 4 * SECOND, single: true, restarts: true };
+    measure(Size { members, leafs }, seed, wish)
+}
+
+/// The lines that a seed replays.
+fn counted(f: &Found) -> Vec<String> {
+    show::text(f).lines().filter(|l| !l.starts_with('~')).map(str::to_string).collect()
+}
+
+#[gtest]
+fn a_seed_replays_and_all_come_back() {
+    let (a, b) = (found(6, 24, 7), found(6, 24, 7));
+    expect_that!(counted(&a), eq(&counted(&b)));
+    expect_that!(counted(&found(6, 24, 8)), not(eq(&counted(&a))));
+    expect_that!(a.start, some(lt(12 * SECOND)));
+    for (name, event) in &a.events {
+        expect_that!(event.last, some(lt(12 * SECOND)), "{name}");
+    }
+    expect_that!(a.events[0].1.told, some(lt(8 * SECOND)));
+}
+
+#[gtest]
+fn a_member_costs_no_more_in_a_larger_cohort_and_state_grows_with_leafs() {
+    let (few, many) = (found(12, 48, 3), found(24, 480, 3));
+    let bytes = |f: &Found| {
+        let sent: u64 = f.calm.sum.fronts.iter().map(|m| m.sent.bytes).sum();
+        sent as f64 / f.calm.sum.fronts.len() as f64
+    };
+    expect_that!(bytes(&many), lt(bytes(&few) * 1.1));
+    let state = |f: &Found| f.calm.front_state as f64;
+    expect_that!(state(&many) / state(&few), gt(6.0));
+    expect_that!(state(&many) / state(&few), lt(12.0));
+}
+
+#[gtest]
+fn every_message_is_counted_where_it_goes_and_where_it_comes() {
+    let f = found(10, 40, 5);
+    let sum = &f.calm.sum;
+    let ways: u64 = sum.ways.values().map(|c| c.bytes).sum();
+    let sent: u64 = sum.fronts.iter().chain(&sum.seats).map(|m| m.sent.bytes).sum();
+    let got: u64 = sum.fronts.iter().chain(&sum.seats).map(|m| m.got.bytes).sum();
+    expect_that!(sent, eq(ways));
+    // What is on the way at either end of the time is small.
+    expect_that!((sent as f64 - got as f64).abs(), lt(sent as f64 / 50.0));
+}
+
+#[gtest]
+fn the_plan_has_the_zones_and_shards_of_the_size() {
+    let zones: std::collections::BTreeSet<String> =
+        (0..plan::ZONES).map(|z| plan::name(plan::zone(z))).collect();
+    expect_that!(zones.len(), eq(14));
+    let regions: std::collections::BTreeSet<usize> = (0..plan::ZONES).map(plan::region).collect();
+    expect_that!(regions.len(), eq(5));
+    let conf = plan::config(5_300).to_string();
+    let conf = grebe::config::read::whole(conf.as_bytes()).unwrap();
+    let built = grebe::config::build::build(&conf).unwrap();
+    expect_that!(built.mappings["wide"].shards.len(), eq(1_300));
+    let w = world::world(Size { members: 3, leafs: 30 }, 1);
+    let (list, wrong) = grebe::edge::list::read(w.list.as_bytes()).unwrap();
+    expect_that!(list.len(), eq(30));
+    expect_that!(wrong.len(), eq(0));
+}
