Let one seat feed a member; ask the others only how far they are

Change: `cohort/feed.rs` chooses a seat by rendezvous among those that spoke within 1.1 s. The others get a `Follow` with places beyond all each 0.8 s, which costs them an answer and no news; one that says it is further feeds too until we have it. Without the core's word all feed, as before. The cohort's state is followed like a part, so a telling that was lost is sent again, which nothing did before. Seats and queriers of the build before understand both sides; wire version 1 stays.

--- a/crates/grebe/src/cohort/mod.rs
+++ b/crates/grebe/src/cohort/mod.rs
@@ -2,6 +2,7 @@
 //! cohort, its duties, and whether it is cut off. No I/O.
 
 pub mod duty;
+pub mod feed;
 pub mod news;
 pub mod standing;
 pub mod step;
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -1,7 +1,7 @@
 //! `step` of a querier's control thread.
 
 use super::watch::{Command, Event, Watch, places};
-use super::{duty, news, standing};
+use super::{duty, feed, news, standing};
 use crate::consts;
 use crate::names::CONFIG;
 use crate::state::members::newer;
@@ -16,7 +16,10 @@
     let mut out = Vec::new();
     match event {
         Event::FromSeat { seat, msg } => match msg {
-            Msg::Reach { places } => w.reach[usize::from(seat)] = places,
+            Msg::Reach { places } => {
+                w.reach[usize::from(seat)] = places;
+                w.feed.at.insert(seat, now);
+            }
             Msg::Tenure { ref name, count, rev, .. } => {
                 if *name == w.me.name {
                     standing::granted(w, Some(seat), count, rev);
@@ -35,12 +38,7 @@
             w.tenure.renew_at = now;
         }
         Event::Wake => {
-            if now >= w.follow_at {
-                w.follow_at = now + consts::FOLLOW_BEAT;
-                for seat in 0..consts::SEATS as u8 {
-                    out.push(Command::ToSeat { seat, msg: Msg::Follow { places: places(w) } });
-                }
-            }
+            feed::follow(w, now, &mut out);
             standing::gossip(w, now, &mut out);
             duty::wake(w, now, &mut out);
             duty::probe(w, now, &mut out);
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use super::feed::Feed;
 use crate::config::build::Built;
 use crate::consts::SEATS;
 use crate::names::{PartId, Seat, parts};
@@ -53,6 +54,7 @@
     /// Nothing is in hand any more; our tenure may be given back.
     pub drained: bool,
     pub follow_at: Tick,
+    pub feed: Feed,
     pub gossip_at: Tick,
     pub list_at: Tick,
     pub probe_at: Tick,
@@ -199,6 +201,7 @@
         stopping: None,
         drained: false,
         follow_at: now,
+        feed: Feed::default(),
         gossip_at: now,
         list_at: now,
         probe_at: now,
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -104,8 +104,15 @@
 /// A lone cut-off member turns not ready after this long without the core, a
 /// second before it bounces: the platform checks readiness each second.
 pub const LONE_NOTICE: Span = ms(1_600);
-/// How often a querier asks the core for news it may have missed.
+/// How often a querier asks the seat that feeds it for news it may have missed.
 pub const FOLLOW_BEAT: Span = ms(400);
+/// How often it asks the other seats how far they are. News that its own seat
+/// lacks then comes at most this, a beat and a round trip late: half of the
+/// 3 s in which a change must be obeyed.
+pub const OTHERS_BEAT: Span = 2 * FOLLOW_BEAT;
+/// A seat that did not say for this long how far it is does not feed us: three
+/// asked in vain, less what the answer takes.
+pub const FEED_SILENCE: Span = ms(1_100);
 /// Least time between two views that differ in leafs only: a burst of changes
 /// to a large pool must not keep a light front busy building views.
 pub const VIEW_GAP: Span = ms(100);
--- a/crates/grebe/src/names.rs
+++ b/crates/grebe/src/names.rs
@@ -11,6 +11,11 @@
 /// The part that holds the operators' configuration.
 pub const CONFIG: PartId = PartId(0);
 
+/// The cohort's state, where it stands in a list of places as if it were a part.
+pub const COHORT: PartId = PartId(u32::MAX);
+/// A place beyond all: who stands there is shown how far we are, and no news.
+pub const BEYOND: u64 = u64::MAX;
+
 impl fmt::Display for PartId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
--- a/crates/grebe/src/state/feed.rs
+++ b/crates/grebe/src/state/feed.rs
@@ -1,10 +1,11 @@
 //! What is committed, shown to followers as a numbered feed.
 
 use super::core::{Command, Core, WireId};
+use super::members;
 use super::part::Part;
 use crate::consts;
 use crate::disk::rec::put;
-use crate::names::PartId;
+use crate::names::{COHORT, PartId};
 use crate::wire::msg::{Map, Msg, Place};
 
 /// Shows everything up to the committed revision `done` that we have.
@@ -64,7 +65,15 @@
 /// Brings every follower up to what is shown. Each is sent a thing once; one
 /// that lost it says where it stands in its next `Follow`.
 pub fn push(core: &mut Core, out: &mut Vec<Command>) {
+    let told = members::mark(&core.members.cohort);
     for (wire, places) in &mut core.followers {
+        if let Some(at) = places.get_mut(&COHORT)
+            && *at < told
+        {
+            *at = told;
+            let msg = Msg::Tell(core.members.cohort.clone());
+            out.push(Command::ToWire { wire: *wire, msg });
+        }
         for p in &core.parts {
             let place = places.entry(p.id).or_insert(0);
             if let Some(msg) = news(p, *place) {
@@ -83,7 +92,8 @@
         known.insert(place.part, place.rev);
     }
     let able = core.parts.iter().filter(|p| super::part::able(p));
-    let places = able.map(|p| Place { part: p.id, rev: p.copy.rev }).collect();
+    let mut places: Vec<Place> = able.map(|p| Place { part: p.id, rev: p.copy.rev }).collect();
+    places.push(Place { part: COHORT, rev: members::mark(&core.members.cohort) });
     out.push(Command::ToWire { wire, msg: Msg::Reach { places } });
     push(core, out);
 }
--- a/crates/grebe/src/state/members.rs
+++ b/crates/grebe/src/state/members.rs
@@ -6,7 +6,7 @@
 use super::core::{Command, Core, WireId, others};
 use super::part::Role;
 use crate::consts;
-use crate::names::Seat;
+use crate::names::{COHORT, Seat};
 use crate::time::{Tick, since};
 use crate::wire::msg::{Cohort, Member, Msg, Progress};
 
@@ -203,7 +203,8 @@
             out.push(Command::ToSeat { seat, msg: Msg::Tell(cohort.clone()) });
         }
     }
-    for wire in core.followers.keys() {
+    // Who follows the cohort as a part is told with the other news.
+    for (wire, _) in core.followers.iter().filter(|(_, list)| !list.contains_key(&COHORT)) {
         out.push(Command::ToWire { wire: *wire, msg: Msg::Tell(cohort.clone()) });
     }
 }
@@ -213,6 +214,12 @@
     (a.epoch, a.turn, a.settled) > (b.epoch, b.turn, b.settled)
 }
 
+/// A state of the cohort as one number that only rises: within a turn it is
+/// told once before all have seen it and once after.
+pub fn mark(c: &Cohort) -> u64 {
+    c.epoch << 32 | c.turn << 1 | u64::from(c.epoch > 0 && c.settled == c.turn)
+}
+
 /// The owner told us the cohort's state.
 pub fn told(core: &mut Core, cohort: Cohort, out: &mut Vec<Command>) {
     let ours = &core.members.cohort;
--- a/crates/grebe/src/state/step.rs
+++ b/crates/grebe/src/state/step.rs
@@ -5,7 +5,7 @@
 use super::{claim, feed, leafs, members, operate, owner, relearn, replica};
 use crate::consts;
 use crate::disk::rec::Rec;
-use crate::names::{PartId, Seat};
+use crate::names::{COHORT, PartId, Seat};
 use crate::time::{Tick, ms};
 use crate::wire::msg::{Life, Msg};
 
@@ -231,7 +231,8 @@
 fn from_wire(core: &mut Core, now: Tick, wire: u64, msg: Msg, out: &mut Vec<Command>) {
     match msg {
         Msg::Follow { places } => {
-            if !core.followers.contains_key(&wire) {
+            let cohort = places.iter().any(|p| p.part == COHORT);
+            if !cohort && !core.followers.contains_key(&wire) {
                 members::greet(core, wire, out);
             }
             feed::follow(core, wire, places, out);
--- /dev/null
+++ b/crates/grebe/tests/feed.rs
@@ -0,0 +1,108 @@
+//! Whom a querier follows.
+
+use googletest::prelude::*;
+use grebe::cohort::step::step;
+use grebe::cohort::watch::{Command, Event, Watch, watch};
+use grebe::consts;
+use grebe::names::{BEYOND, COHORT, CONFIG, PartId, Seat};
+use grebe::state::core;
+use grebe::time::{BOOT, Tick, ms};
+use grebe::wire::msg::{Cohort, Member, Msg, Place};
+
+fn member(n: usize) -> Member {
+    let (name, addr) = (format!("m{n}"), format!("10.0.0.{n}:1"));
+    Member { name, addr, zone: "a".into(), threads: 1, joined: 1 }
+}
+
+fn cohort(n: usize) -> Cohort {
+    Cohort { epoch: 3, turn: 1, settled: 1, members: (0..n).map(member).collect() }
+}
+
+/// Seats that are followed wholly, and those that are only asked, by one step.
+fn asked(todo: &[Command]) -> (Vec<Seat>, Vec<Seat>) {
+    let (mut whole, mut only) = (Vec::new(), Vec::new());
+    for c in todo {
+        if let Command::ToSeat { seat, msg: Msg::Follow { places } } = c {
+            let beyond = places.iter().all(|p| p.rev == BEYOND);
+            if beyond { only.push(*seat) } else { whole.push(*seat) }
+        }
+    }
+    (whole, only)
+}
+
+fn reach(w: &mut Watch, now: Tick, seat: Seat, part: PartId, rev: u64) {
+    let msg = Msg::Reach { places: vec![Place { part, rev }] };
+    step(w, now, Event::FromSeat { seat, msg });
+}
+
+#[gtest]
+fn one_seat_feeds_and_the_others_are_asked_how_far_they_are() {
+    let mut w = watch(member(0), BOOT);
+    let (whole, only) = asked(&step(&mut w, BOOT, Event::Wake));
+    expect_that!(whole.len(), eq(1));
+    expect_that!(only.len(), eq(consts::SEATS - 1));
+    // The others are asked at every second beat only.
+    let (again, none) = asked(&step(&mut w, BOOT + consts::FOLLOW_BEAT, Event::Wake));
+    expect_that!(again, eq(&whole));
+    expect_that!(none, is_empty());
+}
+
+#[gtest]
+fn a_seat_that_is_further_feeds_too_until_we_have_it() {
+    let mut w = watch(member(0), BOOT);
+    w.sure = true;
+    let (whole, only) = asked(&step(&mut w, BOOT, Event::Wake));
+    let (first, other) = (whole[0], only[0]);
+    for part in [CONFIG, COHORT] {
+        let now = w.follow_at;
+        reach(&mut w, now - ms(100), first, part, 0);
+        reach(&mut w, now - ms(100), other, part, u64::MAX / 4);
+        let (whole, _) = asked(&step(&mut w, now, Event::Wake));
+        expect_that!(whole, unordered_elements_are![eq(&first), eq(&other)]);
+        let now = w.follow_at;
+        reach(&mut w, now - ms(100), first, part, 0);
+        reach(&mut w, now - ms(100), other, part, 0);
+        let (whole, _) = asked(&step(&mut w, now, Event::Wake));
+        expect_that!(whole, elements_are![eq(&first)]);
+    }
+}
+
+#[gtest]
+fn who_only_asks_is_shown_how_far_we_are_and_nothing_else() {
+    let mut c = core::core(0, Vec::new(), 1, BOOT);
+    c.parts[0].shown.insert("zone/a".into(), vec![1]);
+    (c.parts[0].shown_rev, c.members.cohort) = (5, cohort(3));
+    let ask = |c: &mut core::Core, rev: u64| {
+        let list = [CONFIG, COHORT].into_iter().chain((1..5).map(PartId));
+        let places = list.map(|part| Place { part, rev }).collect();
+        let event = core::Event::FromWire { wire: 1, msg: Msg::Follow { places } };
+        let todo = grebe::state::step::step(c, BOOT, event);
+        let told = |f: fn(&Msg) -> bool| {
+            let sent =
+                |k: &&core::Command| matches!(k, core::Command::ToWire { msg, .. } if f(msg));
+            todo.iter().filter(sent).count()
+        };
+        let reach = told(|m| matches!(m, Msg::Reach { .. }));
+        (reach, told(|m| matches!(m, Msg::News { .. })), told(|m| matches!(m, Msg::Tell(_))))
+    };
+    expect_that!(ask(&mut c, BEYOND), eq((1, 0, 0)));
+    expect_that!(ask(&mut c, 0), eq((1, 1, 1)));
+    // Who lost it says so and gets it again.
+    expect_that!(ask(&mut c, 0), eq((1, 1, 1)));
+    expect_that!(ask(&mut c, BEYOND), eq((1, 0, 0)));
+}
+
+#[gtest]
+fn a_seat_that_is_silent_feeds_no_longer() {
+    let mut w = watch(member(0), BOOT);
+    let (whole, only) = asked(&step(&mut w, BOOT, Event::Wake));
+    let now = BOOT + consts::FEED_SILENCE + ms(1);
+    reach(&mut w, now - ms(100), only[0], CONFIG, 0);
+    let (next, _) = asked(&step(&mut w, now, Event::Wake));
+    expect_that!(next, elements_are![eq(&only[0])]);
+    expect_that!(whole, not(eq(&next)));
+    // With all silent, all are followed.
+    let later = now + 2 * consts::FEED_SILENCE;
+    let (all, _) = asked(&step(&mut w, later, Event::Wake));
+    expect_that!(all.len(), eq(consts::SEATS));
+}
