Work out what follows from the cohort once a state of it

Cause: at every event a member hashed and sorted the whole cohort for its neighbours and copied it for its shares, and each second hashed it 64 times for probes; a controller looked at all members and all followers at every message, and compared each member with each, 20 times a second. One node's cost grew with the members and the fleet's with their square: 1.4% of a core a member and 18.6% the worst controller at 300, which is above 3.8% and a whole core at 1,200.

Ruled out: sockets and wire forms (0.03% and 0.4% of that).

Change: `cohort/ring.rs` holds neighbours and duties of one state of the cohort; shares are divided anew when it or being cut off changes. Followers are brought up when something shown has moved. What members obey is looked at while an operator waits, every 20 ms; the names of those behind when his patience ends. The cohort is searched by order. The platform's list finds doubles by a set.

Same messages.

--- a/crates/grebe/src/cohort/duty.rs
+++ b/crates/grebe/src/cohort/duty.rs
@@ -7,36 +7,26 @@
 use super::standing;
 use super::watch::{Command, Heard, Watch};
 use crate::consts;
-use crate::digest::{hash, pair};
-use crate::names::{CONFIG, PartId, part_of, parts};
+use crate::digest::hash;
+use crate::names::{PartId, part_of};
 use crate::state::leafs;
 use crate::time::{Tick, since};
 use crate::view::leafs::{LeafInfo, key};
-use crate::wire::msg::{Cohort, Msg, Word};
-
-/// The member that holds the duty `key`: the highest by rendezvous among the
-/// members whose joining is settled.
-pub fn holder<'a>(cohort: &'a Cohort, key: &str) -> Option<&'a str> {
-    let thing = hash(key);
-    cohort
-        .members
-        .iter()
-        .filter(|m| m.joined <= cohort.settled)
-        .max_by_key(|m| (pair(thing, hash(&m.name)), &m.name))
-        .map(|m| m.name.as_str())
-}
+use crate::wire::msg::{Msg, Word};
 
 /// The duty of polling the list for a part.
 pub fn list_key(part: PartId) -> String {
     format!("list/{part}")
 }
 
+/// The duty of probing the leafs of a key.
+pub fn probe_key(key: u64) -> String {
+    format!("probe/{key}")
+}
+
 /// The parts for which we poll the list.
-pub fn ours(w: &Watch) -> Vec<PartId> {
-    parts()
-        .filter(|p| *p != CONFIG)
-        .filter(|p| holder(&w.cohort, &list_key(*p)) == Some(w.me.name.as_str()))
-        .collect()
+pub fn ours(w: &Watch) -> &[PartId] {
+    &w.ring.lists
 }
 
 /// Time passes: poll if it is due and a duty is ours under a good tenure.
@@ -60,7 +50,7 @@
         }
     };
     let fence = (w.cohort.epoch, w.cohort.turn);
-    for part in ours(w) {
+    for part in ours(w).to_vec() {
         let known = w.held.get(&part).map(|h| leafs::all(&h.map)).unwrap_or_default();
         let mine: Vec<LeafInfo> =
             list.iter().filter(|l| part_of(&l.service) == part).cloned().collect();
@@ -183,7 +173,7 @@
         }
     }
     if !pass.is_empty() {
-        for name in standing::neighbours(w) {
+        for name in w.ring.near.clone() {
             for (part, words) in &pass {
                 let msg = Msg::Words { part: *part, words: words.clone() };
                 standing::to_member(w, &name, msg, out);
@@ -199,13 +189,10 @@
         return;
     }
     w.probe_at = now + consts::PROBE_BEAT;
-    let ours: Vec<bool> = (0..consts::PROBE_KEYS)
-        .map(|n| holder(&w.cohort, &format!("probe/{n}")) == Some(w.me.name.as_str()))
-        .collect();
     let list: Vec<_> = view
         .leafs
         .values()
-        .filter(|l| ours[(hash(&l.leaf) % consts::PROBE_KEYS) as usize])
+        .filter(|l| w.ring.probes.get((hash(&l.leaf) % consts::PROBE_KEYS) as usize) == Some(&true))
         .cloned()
         .collect();
     if !list.is_empty() {
--- a/crates/grebe/src/cohort/mod.rs
+++ b/crates/grebe/src/cohort/mod.rs
@@ -4,6 +4,7 @@
 pub mod duty;
 pub mod feed;
 pub mod news;
+pub mod ring;
 pub mod standing;
 pub mod step;
 pub mod watch;
--- /dev/null
+++ b/crates/grebe/src/cohort/ring.rs
@@ -0,0 +1,55 @@
+//! What follows from the cohort alone: our neighbours and our duties. Worked
+//! out once for each state of the cohort, since it costs a look at all members.
+//!
+//! The member that holds a duty is the highest by rendezvous among those whose
+//! joining is settled.
+
+use super::duty;
+use crate::consts;
+use crate::digest::{hash, pair};
+use crate::names::{CONFIG, PartId, parts};
+use crate::wire::msg::Cohort;
+
+/// Our place among the members of one state of the cohort.
+#[derive(Default)]
+pub struct Ring {
+    /// Those next to us on the ring, either way, without doubles.
+    pub near: Vec<String>,
+    /// The parts for which we poll the list.
+    pub lists: Vec<PartId>,
+    /// Which keys of probes are ours.
+    pub probes: Vec<bool>,
+    /// The shares were worked out for this state; whether we were cut off then.
+    pub shared: Option<bool>,
+}
+
+/// The place of `me` in a cohort.
+pub fn ring(cohort: &Cohort, me: &str) -> Ring {
+    let mut ring: Vec<(u64, &str)> =
+        cohort.members.iter().map(|m| (hash(&m.name), m.name.as_str())).collect();
+    // Whose joining is settled may hold duties.
+    let settled = cohort.members.iter().zip(&ring).filter(|(m, _)| m.joined <= cohort.settled);
+    let able: Vec<(u64, &str)> = settled.map(|(_, r)| *r).collect();
+    let ours = |key: &str| {
+        let thing = hash(key);
+        able.iter().max_by_key(|r| (pair(thing, r.0), r.1)).is_some_and(|r| r.1 == me)
+    };
+    let lists = parts().filter(|p| *p != CONFIG && ours(&duty::list_key(*p))).collect();
+    let probes = (0..consts::PROBE_KEYS).map(|n| ours(&duty::probe_key(n))).collect();
+    // Ordered by hash, so that neighbours stand in different zones.
+    ring.sort_unstable();
+    let Some(here) = ring.iter().position(|(_, name)| *name == me) else {
+        return Ring { near: Vec::new(), lists, probes, shared: None };
+    };
+    let n = ring.len();
+    let mut near: Vec<String> = Vec::new();
+    for way in [1, n - 1] {
+        for i in 1..n.min(consts::COHORT_NEIGHBOURS + 1) {
+            let name = ring[(here + way * i) % n].1;
+            if !near.iter().any(|k| k == name) {
+                near.push(name.to_string());
+            }
+        }
+    }
+    Ring { near, lists, probes, shared: None }
+}
--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -10,7 +10,6 @@
 
 use super::watch::{Command, Peer, Watch, places};
 use crate::consts;
-use crate::digest::hash;
 use crate::names::{CONFIG, Seat};
 use crate::query::desk::Door;
 use crate::time::{MILLI, Span, Tick, ms, since};
@@ -28,29 +27,8 @@
 
 /// The members that speak with us while all is well: those next to us either
 /// way on the ring. In a cohort of up to nine that is everyone.
-pub fn neighbours(w: &Watch) -> Vec<String> {
-    let mut near = ahead(w, 1);
-    for name in ahead(w, -1) {
-        if !near.contains(&name) {
-            near.push(name);
-        }
-    }
-    near
-}
-
-/// The next few members on the ring, which is ordered by hash so that
-/// neighbours stand in different zones.
-fn ahead(w: &Watch, way: isize) -> Vec<String> {
-    let mut ring: Vec<(u64, &String)> =
-        w.cohort.members.iter().map(|m| (hash(&m.name), &m.name)).collect();
-    ring.sort_unstable();
-    let n = ring.len() as isize;
-    let Some(here) = ring.iter().position(|(_, name)| **name == w.me.name) else {
-        return Vec::new();
-    };
-    (1..n.min(consts::COHORT_NEIGHBOURS as isize + 1))
-        .map(|i| ring[(here as isize + way * i).rem_euclid(n) as usize].1.clone())
-        .collect()
+pub fn neighbours(w: &Watch) -> &[String] {
+    &w.ring.near
 }
 
 /// Until when most of our neighbourhood, ourselves counted, hears us.
@@ -150,7 +128,7 @@
         return;
     }
     w.gossiped = now;
-    for name in neighbours(w) {
+    for name in w.ring.near.clone() {
         let msg = gossip_msg(w, now, Some(now), None);
         to_member(w, &name, msg, out);
     }
@@ -199,7 +177,6 @@
     let company = if ahead { 0 } else { company_until(w) };
     let alone = w.tenure.granted && (now > company || others_have);
     let lapsed = age >= consts::TENURE_TRUST;
-    let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
     // The platform needs a moment to see that we are not ready: until then
     // callers still come, and are served.
     let shut = w.stopping.is_some_and(|at| since(at, now) >= consts::DRAIN_NOTICE);
@@ -209,22 +186,10 @@
         _ if alone && lapsed => Door::CutOff,
         _ => Door::Open,
     };
-    // A share needs a settled place in the cohort; once had, it is kept while
-    // the core is out of reach for the group. A core that has forgotten us
-    // and takes us in anew must not make us drop it: until that is settled we
-    // divide by everyone old and new.
-    let ours = |m: &crate::wire::msg::Member| (m.name.clone(), m.threads);
-    let mut shares: Vec<(String, u32)> = w.cohort.members.iter().map(ours).collect();
-    let settled = member.is_some_and(|m| m.joined <= w.cohort.settled);
-    if door == Door::CutOff || member.is_none() || (!settled && w.shared.is_empty()) {
-        shares.clear();
-    } else if !settled {
-        shares.extend(w.shared.iter().filter(|s| !shares.contains(s)).cloned().collect::<Vec<_>>());
-        shares.sort();
-    }
-    if shares != w.shared {
-        w.shared = shares.clone();
-        out.push(Command::Shares(shares));
+    let cut = door == Door::CutOff;
+    if w.ring.shared != Some(cut) {
+        w.ring.shared = Some(cut);
+        divide(w, cut, out);
     }
     // The threads look at this themselves before they act: a process that was
     // paused wakes with an old grip and does nothing until it has a new one.
@@ -259,3 +224,25 @@
         out.push(Command::Ready(ready));
     }
 }
+
+/// Says among whom the fleet's limits are divided, if that has changed.
+fn divide(w: &mut Watch, cut: bool, out: &mut Vec<Command>) {
+    // A share needs a settled place in the cohort; once had, it is kept while
+    // the core is out of reach for the group. A core that has forgotten us
+    // and takes us in anew must not make us drop it: until that is settled we
+    // divide by everyone old and new.
+    let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
+    let ours = |m: &crate::wire::msg::Member| (m.name.clone(), m.threads);
+    let mut shares: Vec<(String, u32)> = w.cohort.members.iter().map(ours).collect();
+    let settled = member.is_some_and(|m| m.joined <= w.cohort.settled);
+    if cut || member.is_none() || (!settled && w.shared.is_empty()) {
+        shares.clear();
+    } else if !settled {
+        shares.extend(w.shared.iter().filter(|s| !shares.contains(s)).cloned().collect::<Vec<_>>());
+        shares.sort();
+    }
+    if shares != w.shared {
+        w.shared = shares.clone();
+        out.push(Command::Shares(shares));
+    }
+}
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -1,5 +1,6 @@
 //! `step` of a querier's control thread.
 
+use super::ring::ring;
 use super::watch::{Command, Event, Watch, places};
 use super::{duty, feed, news, standing};
 use crate::consts;
@@ -63,6 +64,7 @@
         }
         Msg::Tell(cohort) if newer(&cohort, &w.cohort) => {
             w.cohort = cohort;
+            w.ring = ring(&w.cohort, &w.me.name);
             // What we saw lets others settle: say so at once.
             w.tenure.renew_at = 0;
         }
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use super::feed::Feed;
+use super::ring::Ring;
 use crate::config::build::Built;
 use crate::consts::SEATS;
 use crate::names::{PartId, Seat, parts};
@@ -36,6 +37,8 @@
     /// configuration is at once.
     pub publish_at: Tick,
     pub cohort: Cohort,
+    /// What follows from `cohort`.
+    pub ring: Ring,
     pub shared: Vec<(String, u32)>,
     pub tenure: Tenure,
     pub peers: IndexMap<String, Peer>,
@@ -190,6 +193,7 @@
         stale: false,
         publish_at: now,
         cohort: Cohort::default(),
+        ring: Ring::default(),
         shared: Vec::new(),
         tenure: Tenure::default(),
         peers: IndexMap::new(),
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -58,6 +58,9 @@
 pub const FEED_KEPT: usize = 256;
 /// An operator's request without a result for this long is "unknown".
 pub const OPERATE_PATIENCE: Span = 8 * SECOND;
+/// How often an owner looks what all members obey while an operator waits: a
+/// look at a thousand takes a tenth of a millisecond, an operator feels none.
+pub const OBEY_LOOK: Span = ms(20);
 /// How long an owner waits with a change before it tells the seat that handed
 /// it over what is lacking; the seat asks again. Twice within the operator's
 /// patience, so that the reason is known when that ends.
--- a/crates/grebe/src/edge/list.rs
+++ b/crates/grebe/src/edge/list.rs
@@ -1,5 +1,7 @@
 //! The platform's list of leafs.
 
+use std::collections::BTreeSet;
+
 use serde_json::Value;
 
 use crate::lang::finding::{Finding, find};
@@ -19,10 +21,11 @@
         return Err(whole("the list has no field `leafs`".into()));
     };
     let (mut out, mut all) = (Vec::<LeafInfo>::new(), Vec::new());
+    let mut seen = BTreeSet::new();
     for (i, item) in items.iter().enumerate() {
         let at = format!("leafs[{i}]");
         match entry(item) {
-            Ok(leaf) if out.iter().any(|l| l.leaf == leaf.leaf) => {
+            Ok(leaf) if !seen.insert(leaf.leaf.clone()) => {
                 find(&mut all, at, format!("leaf `{}` stands twice", leaf.leaf));
             }
             Ok(leaf) => out.push(leaf),
--- a/crates/grebe/src/state/core.rs
+++ b/crates/grebe/src/state/core.rs
@@ -23,6 +23,8 @@
     pub members: Members,
     /// Followers by wire: the place of each part up to which we sent.
     pub followers: IndexMap<WireId, BTreeMap<PartId, u64>>,
+    /// How far the followers were last brought: each part, then the cohort.
+    pub pushed: Vec<u64>,
     /// Requests of our own operators that were handed over or wait.
     pub ops: IndexMap<u64, Op>,
     /// When the next part's files are read again, and which it is.
@@ -157,6 +159,7 @@
         parts: list,
         members: Members::default(),
         followers: IndexMap::new(),
+        pushed: Vec::new(),
         ops: IndexMap::new(),
         look_at: now + ROT_LOOK,
         look_next: 0,
--- a/crates/grebe/src/state/feed.rs
+++ b/crates/grebe/src/state/feed.rs
@@ -62,25 +62,39 @@
     Some(Msg::News { part: p.id, from: None, rev, entries })
 }
 
-/// Brings every follower up to what is shown. Each is sent a thing once; one
-/// that lost it says where it stands in its next `Follow`.
+/// Brings every follower up to what is shown, if that has changed. Each is
+/// sent a thing once; one that lost it says where it stands in its next
+/// `Follow`.
 pub fn push(core: &mut Core, out: &mut Vec<Command>) {
     let told = members::mark(&core.members.cohort);
-    for (wire, places) in &mut core.followers {
-        if let Some(at) = places.get_mut(&COHORT)
-            && *at < told
-        {
-            *at = told;
-            let msg = Msg::Tell(core.members.cohort.clone());
-            out.push(Command::ToWire { wire: *wire, msg });
-        }
-        for p in &core.parts {
-            let place = places.entry(p.id).or_insert(0);
-            if let Some(msg) = news(p, *place) {
-                *place = p.shown_rev;
-                core.counts.news += 1;
-                out.push(Command::ToWire { wire: *wire, msg });
-            }
+    let heads: Vec<u64> = core.parts.iter().map(|p| p.shown_rev).chain([told]).collect();
+    if heads == core.pushed {
+        return;
+    }
+    core.pushed = heads;
+    let wires: Vec<WireId> = core.followers.keys().copied().collect();
+    for wire in wires {
+        bring(core, wire, out);
+    }
+}
+
+/// Brings one follower up to what is shown.
+fn bring(core: &mut Core, wire: WireId, out: &mut Vec<Command>) {
+    let Some(places) = core.followers.get_mut(&wire) else { return };
+    let told = members::mark(&core.members.cohort);
+    if let Some(at) = places.get_mut(&COHORT)
+        && *at < told
+    {
+        *at = told;
+        let msg = Msg::Tell(core.members.cohort.clone());
+        out.push(Command::ToWire { wire, msg });
+    }
+    for p in &core.parts {
+        let place = places.entry(p.id).or_insert(0);
+        if let Some(msg) = news(p, *place) {
+            *place = p.shown_rev;
+            core.counts.news += 1;
+            out.push(Command::ToWire { wire, msg });
         }
     }
 }
@@ -95,7 +109,7 @@
     let mut places: Vec<Place> = able.map(|p| Place { part: p.id, rev: p.copy.rev }).collect();
     places.push(Place { part: COHORT, rev: members::mark(&core.members.cohort) });
     out.push(Command::ToWire { wire, msg: Msg::Reach { places } });
-    push(core, out);
+    bring(core, wire, out);
 }
 
 /// The committed revision of a part at this seat.
--- a/crates/grebe/src/state/members.rs
+++ b/crates/grebe/src/state/members.rs
@@ -114,7 +114,9 @@
     }
     list.sort_by(|a, b| a.name.cmp(&b.name));
     for k in &mut list {
-        let old = m.cohort.members.iter().find(|o| o.name == k.name && o.threads == k.threads);
+        // The members stand in the order of their names.
+        let old = m.cohort.members.binary_search_by(|o| o.name.cmp(&k.name));
+        let old = old.ok().map(|at| &m.cohort.members[at]).filter(|o| o.threads == k.threads);
         k.joined = old.map_or(next, |o| o.joined);
     }
     let mut changed = false;
@@ -159,19 +161,27 @@
     list.map(|k| format!("{} (obeys {})", k.name, obeys(k))).collect()
 }
 
-/// Tells the configuration's owner what most members obey by now.
+/// Tells the configuration's owner what most members obey by now. Only an
+/// operator who waits makes that worth a look at all of them, and then now and
+/// again: until the first look nothing counts as obeyed.
 pub fn obeyed(core: &mut Core, now: Tick, out: &mut Vec<Command>) {
-    let rev = most_obey(&core.members);
     let p = &mut core.parts[0];
     let head = p.copy.rev;
-    if let Role::Owner(o) = &mut p.role
-        && !o.waits.is_empty()
-    {
+    let Role::Owner(o) = &mut p.role else { return };
+    let Some(until) = o.waits.iter().map(|w| w.until).min() else {
+        o.obeyed = 0;
+        return;
+    };
+    if now < o.look_at {
+        return;
+    }
+    o.look_at = now + consts::OBEY_LOOK;
+    // The names are needed only when somebody's patience ends.
+    if now + consts::OWNER_BEAT >= until {
         o.behind = behind(&core.members, head);
     }
-    if let Role::Owner(o) = &mut p.role
-        && o.obeyed != rev
-    {
+    let rev = most_obey(&core.members);
+    if o.obeyed != rev {
         o.obeyed = rev;
         super::owner::settle(p, now, out);
     }
--- a/crates/grebe/src/state/owner.rs
+++ b/crates/grebe/src/state/owner.rs
@@ -26,6 +26,7 @@
         rounds: VecDeque::new(),
         answered: [(0, now); SEATS],
         obeyed: 0,
+        look_at: now,
         behind: Vec::new(),
         waits: Vec::new(),
         reads: Vec::new(),
--- a/crates/grebe/src/state/part.rs
+++ b/crates/grebe/src/state/part.rs
@@ -112,7 +112,9 @@
     /// here. Then any majority of members that is cut off from us together
     /// holds it too, and its members hand it on to each other.
     pub obeyed: u64,
-    /// Members that do not obey our newest revision yet, while operators wait.
+    /// When we next look what members obey.
+    pub look_at: Tick,
+    /// Members that do not obey our newest revision yet, when an operator's patience ends.
     pub behind: Vec<String>,
     pub waits: Vec<Waiting>,
     pub reads: Vec<Reading>,
--- a/crates/grebe/tests/feed.rs
+++ b/crates/grebe/tests/feed.rs
@@ -1,6 +1,8 @@
-//! Whom a querier follows, and when it speaks with its neighbours.
+//! Whom a querier follows, when it speaks with its neighbours, and what its
+//! place in the cohort is.
 
 use googletest::prelude::*;
+use grebe::cohort::ring::ring;
 use grebe::cohort::step::step;
 use grebe::cohort::watch::{Command, Event, Watch, watch};
 use grebe::consts;
@@ -152,3 +154,21 @@
     });
     expect_that!(answers.count(), eq(1));
 }
+
+#[gtest]
+fn duties_have_one_holder_and_neighbours_are_mutual() {
+    let all = cohort(40);
+    let rings: Vec<_> = all.members.iter().map(|m| ring(&all, &m.name)).collect();
+    for key in 0..consts::PROBE_KEYS as usize {
+        expect_that!(rings.iter().filter(|r| r.probes[key]).count(), eq(1));
+    }
+    let lists: usize = rings.iter().map(|r| r.lists.len()).sum();
+    expect_that!(lists, eq(consts::SERVICE_PARTS as usize));
+    for (m, r) in all.members.iter().zip(&rings) {
+        expect_that!(r.near.len(), eq(2 * consts::COHORT_NEIGHBOURS));
+        for name in &r.near {
+            let n: usize = name[1..].parse().unwrap();
+            expect_that!(rings[n].near, contains(eq(&m.name)));
+        }
+    }
+}
