--- a/crates/sim/src/hollow/phases.rs
+++ b/crates/sim/src/hollow/phases.rs
@@ -60,6 +60,8 @@
     /// Of these, one copy of what is stored.
     pub stored: usize,
     pub list_bytes: usize,
+    /// Processor time for a view of all leafs, made once more (ns).
+    pub view_ns: u64,
 }
 
 /// One thing that happened, and what it cost.
@@ -138,7 +140,18 @@
     let front_state = w.fronts.iter().map(|f| weight::watch(&f.watch)).max().unwrap_or(0);
     let seat_state = w.seats.iter().map(|s| weight::core(&s.core)).max().unwrap_or(0);
     let stored = w.seats[0].core.parts.iter().map(|p| weight::map(&p.shown)).sum();
-    Calm { sum, front_state, seat_state, stored, list_bytes: w.list.len() }
+    let view_ns = w.fronts.first().map_or(0, |f| view(&f.watch));
+    Calm { sum, front_state, seat_state, stored, list_bytes: w.list.len(), view_ns }
+}
+
+/// What it takes to read all leafs that are held and to make a view of them.
+fn view(w: &grebe::cohort::watch::Watch) -> u64 {
+    let mut took = 0;
+    cost::timed(&mut took, || {
+        let list = w.held.values().flat_map(|h| grebe::state::leafs::all(&h.map).into_values());
+        grebe::view::whole::view(w.built_rev, w.built.clone(), list.collect())
+    });
+    took
 }
 
 fn operate(w: &mut World, op: u64, deed: Deed) {
--- a/crates/sim/src/hollow/show.rs
+++ b/crates/sim/src/hollow/show.rs
@@ -18,6 +18,7 @@
     let _ = writeln!(o, "what is stored          {:>12} bytes", f.calm.stored);
     let _ = writeln!(o, "the platform's list     {:>12} bytes", f.calm.list_bytes);
     let _ = writeln!(o, "~ memory of the process {:>12} bytes", f.resident);
+    let _ = writeln!(o, "~ a view is made in    {:>13.2} ms", f.calm.view_ns as f64 / 1e6);
     let _ = writeln!(o, "alarms                  {:>12}", f.alarms);
     rates(o, &f.calm.sum);
     let _ = writeln!(o, "first start: whole after {}", span(f.start));
