--- a/crates/grebe/src/cohort/duty.rs
+++ b/crates/grebe/src/cohort/duty.rs
@@ -7,47 +7,24 @@
 use super::standing;
 use super::watch::{Command, Heard, Watch, seats};
 use crate::consts;
-use crate::digest::{hash, pair};
+use crate::digest::hash;
 use crate::names::{CONFIG, PartId, part_of, parts};
 use crate::state::leafs;
 use crate::time::{Span, Tick, since};
 use crate::view::leafs::{LeafInfo, key};
-use crate::wire::msg::{Cohort, Msg, Word};
-
-/// The member that holds the duty `key`: the highest by rendezvous among the
-/// members whose joining is settled.
-pub fn holder<'a>(cohort: &'a Cohort, key: &str) -> Option<&'a str> {
-    let thing = hash(key);
-    cohort
-        .members
-        .iter()
-        .filter(|m| m.joined <= cohort.settled)
-        .max_by_key(|m| (pair(thing, hash(&m.name)), &m.name))
-        .map(|m| m.name.as_str())
-}
+use crate::wire::msg::{Msg, Word};
 
 /// The duty of polling the platform's list, for all parts at once: a poll
 /// brings the whole list, and each costs the platform.
 pub const LIST: &str = "list";
 
-/// Our place for a duty among the settled members: its holder has 0, who would
-/// hold it next 1.
-pub fn place(cohort: &Cohort, key: &str, me: &str) -> Option<usize> {
-    let thing = hash(key);
-    let rank = |name: &str| (pair(thing, hash(name)), name.to_string());
-    let settled = || cohort.members.iter().filter(|m| m.joined <= cohort.settled);
-    settled().find(|m| m.name == me)?;
-    let mine = rank(me);
-    Some(settled().filter(|m| rank(&m.name) > mine).count())
-}
-
 /// How often we poll the list: its holder often, and the next one seldom, so
 /// that a holder that dies does not leave everyone blind for a whole tenure.
 /// Nobody knows what the others hear; it is asked sooner after word of a leaf
 /// that is gone, since most come back under a new name.
 fn pace(w: &Watch, now: Tick) -> Option<Span> {
     let hurried = since(w.gone_at, now) < consts::LIST_HURRIED && w.gone_at > 0;
-    match place(&w.cohort, LIST, &w.me.name)? {
+    match w.ring.list? {
         0 if hurried => Some(consts::LIST_HURRY),
         0 => Some(consts::LIST_POLL),
         1 => Some(consts::LIST_POLL_NEXT),
@@ -55,9 +32,14 @@
     }
 }
 
+/// The duty of probing the leafs of a key.
+pub fn probe_key(key: u64) -> String {
+    format!("probe/{key}")
+}
+
 /// The parts for which we poll the list.
 pub fn ours(w: &Watch) -> Vec<PartId> {
-    match place(&w.cohort, LIST, &w.me.name) {
+    match w.ring.list {
         Some(0 | 1) => parts().filter(|p| *p != CONFIG).collect(),
         _ => Vec::new(),
     }
@@ -213,7 +195,7 @@
         }
     }
     if !pass.is_empty() {
-        for name in standing::neighbours(w) {
+        for name in w.ring.near.clone() {
             for (part, words) in &pass {
                 let msg = Msg::Words { part: *part, words: words.clone() };
                 standing::to_member(w, &name, msg, out);
@@ -229,13 +211,10 @@
         return;
     }
     w.probe_at = now + consts::PROBE_BEAT;
-    let ours: Vec<bool> = (0..consts::PROBE_KEYS)
-        .map(|n| holder(&w.cohort, &format!("probe/{n}")) == Some(w.me.name.as_str()))
-        .collect();
     let list: Vec<_> = view
         .leafs
         .values()
-        .filter(|l| ours[(hash(&l.leaf) % consts::PROBE_KEYS) as usize])
+        .filter(|l| w.ring.probes.get((hash(&l.leaf) % consts::PROBE_KEYS) as usize) == Some(&true))
         .cloned()
         .collect();
     if !list.is_empty() {
--- a/crates/grebe/src/cohort/mod.rs
+++ b/crates/grebe/src/cohort/mod.rs
@@ -2,7 +2,9 @@
 //! cohort, its duties, and whether it is cut off. No I/O.
 
 pub mod duty;
+pub mod feed;
 pub mod news;
+pub mod ring;
 pub mod standing;
 pub mod step;
 pub mod watch;
--- a/crates/grebe/src/state/core.rs
+++ b/crates/grebe/src/state/core.rs
@@ -31,6 +31,8 @@
     pub members: Members,
     /// Followers by wire: the place of each part up to which we sent.
     pub followers: IndexMap<WireId, BTreeMap<PartId, u64>>,
+    /// How far the followers were last brought: each part, then the cohort.
+    pub pushed: Vec<u64>,
     /// Requests of our own operators that were handed over or wait.
     pub ops: IndexMap<u64, Op>,
     /// Those of them that a controller without a seat handed to us: its wire,
@@ -203,6 +205,7 @@
         parts: list,
         members: Members::default(),
         followers: IndexMap::new(),
+        pushed: Vec::new(),
         ops: IndexMap::new(),
         lent: IndexMap::new(),
         next_lent: LENT,
--- a/crates/grebe/src/state/owner.rs
+++ b/crates/grebe/src/state/owner.rs
@@ -28,6 +28,7 @@
         rounds: VecDeque::new(),
         answered: vec![(0, now); g.size],
         obeyed: 0,
+        look_at: now,
         behind: Vec::new(),
         waits: Vec::new(),
         reads: Vec::new(),
--- /dev/null
+++ b/crates/grebe/tests/feed.rs
@@ -0,0 +1,248 @@
+//! Whom a querier follows, when it speaks with its neighbours, and what its
+//! place in the cohort is.
+
+use googletest::prelude::*;
+use grebe::cohort::ring::ring;
+use grebe::cohort::step::step;
+use grebe::cohort::watch::{Command, Event, Watch, watch};
+use grebe::consts;
+use grebe::names::{BEYOND, COHORT, CONFIG, PartId, Seat};
+use grebe::seats::roll::Roll;
+use grebe::seats::table::{told_holder, told_table};
+use grebe::state::core;
+use grebe::time::{BOOT, Tick, ms};
+use grebe::wire::msg::{Cohort, Member, Msg, Place};
+
+fn member(n: usize) -> Member {
+    let (name, addr) = (format!("m{n}"), format!("10.0.0.{n}:1"));
+    Member { name, addr, zone: "a".into(), threads: 1, joined: 1 }
+}
+
+fn cohort(n: usize) -> Cohort {
+    Cohort { epoch: 3, turn: 1, settled: 1, members: (0..n).map(member).collect() }
+}
+
+const SEATS: usize = consts::SEATS as usize;
+
+/// A member that has just started and knows the seats.
+fn starts() -> Watch {
+    let seeds: Vec<String> = (0..SEATS).map(|n| format!("10.1.0.{n}:1")).collect();
+    let mut w = watch(member(0), BOOT);
+    step(&mut w, BOOT, Event::Seats(told_table(&seeds)));
+    w.follow_at = BOOT;
+    w
+}
+
+/// A member that has a view and the core's word.
+fn serves() -> Watch {
+    let mut w = watch(member(0), BOOT);
+    let seeds: Vec<String> = (0..SEATS).map(|n| format!("10.1.0.{n}:1")).collect();
+    (w.sure, w.tenure.granted, w.tenure.held_from) = (true, true, BOOT);
+    step(&mut w, BOOT, Event::Seats(told_table(&seeds)));
+    w
+}
+
+/// Seats that are followed wholly, and those that are only asked, by one step.
+fn asked(todo: &[Command]) -> (Vec<Seat>, Vec<Seat>) {
+    let (mut whole, mut only) = (Vec::new(), Vec::new());
+    for c in todo {
+        if let Command::ToSeat { seat, msg: Msg::Follow { places, .. } } = c {
+            let beyond = places.iter().all(|p| p.rev == BEYOND);
+            if beyond { only.push(*seat) } else { whole.push(*seat) }
+        }
+    }
+    (whole, only)
+}
+
+fn reach(w: &mut Watch, now: Tick, seat: Seat, part: PartId, rev: u64) {
+    let msg = Msg::Reach { places: vec![Place { part, rev }], stamp: w.stamp };
+    step(w, now, Event::FromSeat { seat, msg });
+}
+
+#[gtest]
+fn one_seat_feeds_and_the_others_are_asked_how_far_they_are() {
+    let mut w = serves();
+    let (whole, only) = asked(&step(&mut w, BOOT, Event::Wake));
+    expect_that!(whole.len(), eq(1));
+    expect_that!(only.len(), eq(SEATS - 1));
+    // The others are asked at every second beat only.
+    let (again, none) = asked(&step(&mut w, BOOT + consts::FOLLOW_BEAT, Event::Wake));
+    expect_that!(again, eq(&whole));
+    expect_that!(none, is_empty());
+}
+
+#[gtest]
+fn all_seats_feed_a_member_that_starts_and_are_asked_often() {
+    let mut w = starts();
+    for (sure, granted, beat) in [
+        (false, false, consts::TENURE_SEEK),
+        (false, true, consts::TENURE_SEEK),
+        (true, false, consts::FOLLOW_BEAT),
+    ] {
+        let now = w.follow_at;
+        (w.sure, w.tenure.granted, w.tenure.held_from) = (sure, granted, now);
+        let (whole, only) = asked(&step(&mut w, now, Event::Wake));
+        expect_that!(whole.len(), eq(SEATS));
+        expect_that!(only, is_empty());
+        expect_that!(w.follow_at, eq(now + beat));
+    }
+}
+
+#[gtest]
+fn a_seat_that_has_a_new_holder_feeds_when_it_has_spoken() {
+    let mut w = serves();
+    let (whole, _) = asked(&step(&mut w, BOOT, Event::Wake));
+    let first = whole[0];
+    let now = BOOT + consts::FEED_SILENCE;
+    for seat in 0..SEATS as Seat {
+        reach(&mut w, now, seat, CONFIG, 0);
+    }
+    let mut table = w.table.clone();
+    let h = &mut table.seats[usize::from(first)];
+    (h.generation, h.holder, h.addr) = (2, 77, "10.1.0.9:1".into());
+    step(&mut w, now, Event::Seats(table));
+    w.tenure.held_from = now;
+    let (whole, only) = asked(&step(&mut w, now, Event::Wake));
+    expect_that!(whole, not(contains(eq(&first))));
+    // All are asked at once: who speaks may feed.
+    expect_that!(only, contains(eq(&first)));
+    // What was said under the table before says nothing of the new holder.
+    let msg = Msg::Reach { places: Vec::new(), stamp: 0 };
+    step(&mut w, now, Event::FromSeat { seat: first, msg });
+    let beat = w.follow_at;
+    expect_that!(asked(&step(&mut w, beat, Event::Wake)).0, not(contains(eq(&first))));
+    reach(&mut w, beat, first, CONFIG, 0);
+    let beat = w.follow_at;
+    expect_that!(asked(&step(&mut w, beat, Event::Wake)).0, elements_are![eq(&first)]);
+}
+
+#[gtest]
+fn a_seat_that_is_further_feeds_too_until_we_have_it() {
+    let mut w = serves();
+    let (whole, only) = asked(&step(&mut w, BOOT, Event::Wake));
+    let (first, other) = (whole[0], only[0]);
+    for part in [CONFIG, COHORT] {
+        let now = w.follow_at;
+        w.tenure.held_from = now;
+        reach(&mut w, now - ms(100), first, part, 0);
+        reach(&mut w, now - ms(100), other, part, u64::MAX / 4);
+        let (whole, _) = asked(&step(&mut w, now, Event::Wake));
+        expect_that!(whole, unordered_elements_are![eq(&first), eq(&other)]);
+        let now = w.follow_at;
+        reach(&mut w, now - ms(100), first, part, 0);
+        reach(&mut w, now - ms(100), other, part, 0);
+        let (whole, _) = asked(&step(&mut w, now, Event::Wake));
+        expect_that!(whole, elements_are![eq(&first)]);
+    }
+}
+
+#[gtest]
+fn who_only_asks_is_shown_how_far_we_are_and_nothing_else() {
+    let seeds: Vec<String> = (0..SEATS).map(|n| format!("10.1.0.{n}:1")).collect();
+    let roll = Roll { me: told_holder(0), first: true, table: told_table(&seeds) };
+    let mut c = core::core(roll, (&seeds[0], "a"), Vec::new(), 1, BOOT);
+    let stamp = c.seating.stamp;
+    c.parts[0].shown.insert("zone/a".into(), vec![1]);
+    (c.parts[0].shown_rev, c.members.cohort) = (5, cohort(3));
+    let ask = |c: &mut core::Core, rev: u64| {
+        let list = [CONFIG, COHORT].into_iter().chain((1..5).map(PartId));
+        let places = list.map(|part| Place { part, rev }).collect();
+        let event = core::Event::FromWire { wire: 1, msg: Msg::Follow { places, stamp } };
+        let todo = grebe::state::step::step(c, BOOT, event);
+        let told = |f: fn(&Msg) -> bool| {
+            let sent =
+                |k: &&core::Command| matches!(k, core::Command::ToWire { msg, .. } if f(msg));
+            todo.iter().filter(sent).count()
+        };
+        let reach = told(|m| matches!(m, Msg::Reach { .. }));
+        (reach, told(|m| matches!(m, Msg::News { .. })), told(|m| matches!(m, Msg::Tell(_))))
+    };
+    expect_that!(ask(&mut c, BEYOND), eq((1, 0, 0)));
+    expect_that!(ask(&mut c, 0), eq((1, 1, 1)));
+    // Who lost it says so and gets it again.
+    expect_that!(ask(&mut c, 0), eq((1, 1, 1)));
+    expect_that!(ask(&mut c, BEYOND), eq((1, 0, 0)));
+}
+
+#[gtest]
+fn a_seat_that_is_silent_feeds_no_longer() {
+    let mut w = serves();
+    let (whole, only) = asked(&step(&mut w, BOOT, Event::Wake));
+    let now = BOOT + consts::FEED_SILENCE + ms(1);
+    w.tenure.held_from = now;
+    reach(&mut w, now - ms(100), only[0], CONFIG, 0);
+    let (next, _) = asked(&step(&mut w, now, Event::Wake));
+    expect_that!(next, elements_are![eq(&only[0])]);
+    expect_that!(whole, not(eq(&next)));
+    // With all silent, all are followed.
+    let later = now + 2 * consts::FEED_SILENCE;
+    w.tenure.held_from = later;
+    let (all, _) = asked(&step(&mut w, later, Event::Wake));
+    expect_that!(all.len(), eq(SEATS));
+}
+
+/// The asks that a member sends in ten seconds; with the core's word or not.
+fn asks(calm: bool) -> usize {
+    let mut w = watch(member(0), BOOT);
+    step(&mut w, BOOT, Event::FromSeat { seat: 0, msg: Msg::Tell(cohort(9)) });
+    w.tenure.granted = calm;
+    let mut n = 0;
+    for i in 0..200 {
+        let now = BOOT + ms(50 * i);
+        w.tenure.held_from = if calm { now } else { 0 };
+        for c in step(&mut w, now, Event::Wake) {
+            if let Command::ToMember { msg: Msg::Gossip { places, asked, .. }, .. } = c {
+                expect_that!(asked, some(eq(now)));
+                expect_that!(places, is_empty());
+                n += 1;
+            }
+        }
+    }
+    n
+}
+
+#[gtest]
+fn members_speak_seldom_while_the_core_is_heard_and_often_when_not() {
+    expect_that!(asks(true), eq(8 * 5));
+    expect_that!(asks(false), eq(8 * 20));
+}
+
+#[gtest]
+fn an_answer_says_where_we_stand() {
+    let mut w = watch(member(0), BOOT);
+    step(&mut w, BOOT, Event::FromSeat { seat: 0, msg: Msg::Tell(cohort(3)) });
+    let msg = Msg::Gossip {
+        name: "m1".into(),
+        core_age_ms: 0,
+        ready: true,
+        places: Vec::new(),
+        asked: Some(7),
+        echo: None,
+    };
+    let todo = step(&mut w, BOOT + 1, Event::FromMember { name: "m1".into(), msg });
+    let answers = todo.iter().filter(|c| {
+        matches!(c, Command::ToMember { msg: Msg::Gossip { places, echo: Some(7), .. }, .. }
+            if places.len() == 1 + consts::SERVICE_PARTS as usize)
+    });
+    expect_that!(answers.count(), eq(1));
+}
+
+#[gtest]
+fn duties_have_one_holder_and_neighbours_are_mutual() {
+    let all = cohort(40);
+    let rings: Vec<_> = all.members.iter().map(|m| ring(&all, &m.name)).collect();
+    for key in 0..consts::PROBE_KEYS as usize {
+        expect_that!(rings.iter().filter(|r| r.probes[key]).count(), eq(1));
+    }
+    // Everyone has another place for the list: one holds it, one is next.
+    let mut places: Vec<_> = rings.iter().filter_map(|r| r.list).collect();
+    places.sort_unstable();
+    expect_that!(places, eq(&(0..40).collect::<Vec<_>>()));
+    for (m, r) in all.members.iter().zip(&rings) {
+        expect_that!(r.near.len(), eq(2 * consts::COHORT_NEIGHBOURS));
+        for name in &r.near {
+            let n: usize = name[1..].parse().unwrap();
+            expect_that!(rings[n].near, contains(eq(&m.name)));
+        }
+    }
+}
