--- a/crates/grebe/src/cohort/standing.rs
+++ b/crates/grebe/src/cohort/standing.rs
@@ -10,7 +10,6 @@
 
 use super::watch::{Command, Peer, Watch, places, seats};
 use crate::consts;
-use crate::digest::hash;
 use crate::names::{CONFIG, Seat};
 use crate::query::desk::Door;
 use crate::time::{MILLI, Span, Tick, ms, since};
@@ -28,29 +27,8 @@
 
 /// The members that speak with us while all is well: those next to us either
 /// way on the ring. In a cohort of up to nine that is everyone.
-pub fn neighbours(w: &Watch) -> Vec<String> {
-    let mut near = ahead(w, 1);
-    for name in ahead(w, -1) {
-        if !near.contains(&name) {
-            near.push(name);
-        }
-    }
-    near
-}
-
-/// The next few members on the ring, which is ordered by hash so that
-/// neighbours stand in different zones.
-fn ahead(w: &Watch, way: isize) -> Vec<String> {
-    let mut ring: Vec<(u64, &String)> =
-        w.cohort.members.iter().map(|m| (hash(&m.name), &m.name)).collect();
-    ring.sort_unstable();
-    let n = ring.len() as isize;
-    let Some(here) = ring.iter().position(|(_, name)| **name == w.me.name) else {
-        return Vec::new();
-    };
-    (1..n.min(consts::COHORT_NEIGHBOURS as isize + 1))
-        .map(|i| ring[(here as isize + way * i).rem_euclid(n) as usize].1.clone())
-        .collect()
+pub fn neighbours(w: &Watch) -> &[String] {
+    &w.ring.near
 }
 
 /// Until when most of our neighbourhood, ourselves counted, hears us.
@@ -142,26 +120,30 @@
     }
 }
 
-/// Speaks to the neighbours.
+/// Speaks to the neighbours: seldom while the core's word is fresh, since only
+/// who lacks it asks for company.
 pub fn gossip(w: &mut Watch, now: Tick, out: &mut Vec<Command>) {
-    if now < w.gossip_at {
+    let calm = w.tenure.granted && core_age(w, now) < consts::COHORT_UNREST;
+    let beat = if calm { consts::COHORT_CALM } else { consts::COHORT_BEAT };
+    if now < w.gossiped + beat {
         return;
     }
-    w.gossip_at = now + consts::COHORT_BEAT;
-    for name in neighbours(w) {
+    w.gossiped = now;
+    for name in w.ring.near.clone() {
         let msg = gossip_msg(w, now, Some(now), None);
         to_member(w, &name, msg, out);
     }
     w.peers.retain(|_, p| since(p.at, now) < consts::COHORT_SILENCE * 4);
 }
 
-/// What we say to another member.
+/// What we say to another member. Where we stand is said in answers alone: who
+/// asks learns it, and asks for itself.
 pub fn gossip_msg(w: &Watch, now: Tick, asked: Option<Tick>, echo: Option<Tick>) -> Msg {
     Msg::Gossip {
         name: w.me.name.clone(),
         core_age_ms: core_age(w, now) / MILLI,
         ready: w.ready,
-        places: places(w),
+        places: if echo.is_some() { places(w) } else { Vec::new() },
         asked,
         echo,
     }
@@ -196,7 +178,6 @@
     let company = if ahead { 0 } else { company_until(w) };
     let alone = w.tenure.granted && (now > company || others_have);
     let lapsed = age >= consts::TENURE_TRUST;
-    let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
     // The platform needs a moment to see that we are not ready: until then
     // callers still come, and are served.
     let shut = w.stopping.is_some_and(|at| since(at, now) >= w.notice);
@@ -206,28 +187,11 @@
         _ if alone && lapsed => Door::CutOff,
         _ => Door::Open,
     };
-    // A share needs a settled place in the cohort; once had, it is kept while
-    // the core is out of reach for the group. A core that has forgotten us
-    // and takes us in anew must not make us drop it: until that is settled we
-    // divide by everyone old and new.
-    let ours = |m: &crate::wire::msg::Member| (m.name.clone(), m.threads);
-    let mut shares: Vec<(String, u32)> = w.cohort.members.iter().map(ours).collect();
-    let settled = member.is_some_and(|m| m.joined <= w.cohort.settled);
-    if door == Door::CutOff || member.is_none() || (!settled && w.shared.is_empty()) {
-        shares.clear();
-    } else if !settled {
-        shares.extend(w.shared.iter().filter(|s| !shares.contains(s)).cloned().collect::<Vec<_>>());
-        shares.sort();
-    }
-    if shares != w.shared {
-        w.shared = shares.clone();
-        out.push(Command::Shares(shares));
-    }
-    let all = w.cohort.members.iter();
-    let peers: Vec<_> = all.map(|m| (m.name.clone(), m.threads, m.zone.clone())).collect();
-    if peers != w.peered && !peers.is_empty() {
-        w.peered = peers.clone();
-        out.push(Command::Peers(peers));
+    let cut = door == Door::CutOff;
+    if w.ring.shared != Some(cut) {
+        w.ring.shared = Some(cut);
+        divide(w, cut, out);
+        peers(w, out);
     }
     // The threads look at this themselves before they act: a process that was
     // paused wakes with an old grip and does nothing until it has a new one.
@@ -262,3 +226,35 @@
         out.push(Command::Ready(ready));
     }
 }
+
+/// Says among whom the fleet's limits are divided, if that has changed.
+fn divide(w: &mut Watch, cut: bool, out: &mut Vec<Command>) {
+    // A share needs a settled place in the cohort; once had, it is kept while
+    // the core is out of reach for the group. A core that has forgotten us
+    // and takes us in anew must not make us drop it: until that is settled we
+    // divide by everyone old and new.
+    let member = w.cohort.members.iter().find(|m| m.name == w.me.name);
+    let ours = |m: &crate::wire::msg::Member| (m.name.clone(), m.threads);
+    let mut shares: Vec<(String, u32)> = w.cohort.members.iter().map(ours).collect();
+    let settled = member.is_some_and(|m| m.joined <= w.cohort.settled);
+    if cut || member.is_none() || (!settled && w.shared.is_empty()) {
+        shares.clear();
+    } else if !settled {
+        shares.extend(w.shared.iter().filter(|s| !shares.contains(s)).cloned().collect::<Vec<_>>());
+        shares.sort();
+    }
+    if shares != w.shared {
+        w.shared = shares.clone();
+        out.push(Command::Shares(shares));
+    }
+}
+
+/// Says who opens wires to leafs, if that has changed.
+fn peers(w: &mut Watch, out: &mut Vec<Command>) {
+    let all = w.cohort.members.iter();
+    let peers: Vec<_> = all.map(|m| (m.name.clone(), m.threads, m.zone.clone())).collect();
+    if peers != w.peered && !peers.is_empty() {
+        w.peered = peers.clone();
+        out.push(Command::Peers(peers));
+    }
+}
--- a/crates/grebe/src/cohort/step.rs
+++ b/crates/grebe/src/cohort/step.rs
@@ -1,7 +1,8 @@
 //! `step` of a querier's control thread.
 
-use super::watch::{Command, Event, Watch, learn, places, seats};
-use super::{duty, news, standing};
+use super::ring::ring;
+use super::watch::{Command, Event, Watch, learn, places};
+use super::{duty, feed, news, standing};
 use crate::consts;
 use crate::names::CONFIG;
 use crate::state::members::newer;
@@ -21,6 +22,7 @@
             Msg::Reach { places, stamp } if stamp == w.stamp => {
                 if let Some(cell) = w.reach.get_mut(usize::from(seat)) {
                     *cell = places;
+                    w.feed.at.insert(seat, now);
                 }
             }
             Msg::Tenure { ref name, count, rev, .. } => {
@@ -42,17 +44,7 @@
             w.tenure.renew_at = now;
         }
         Event::Wake => {
-            if now >= w.follow_at {
-                let beat = if w.sure { consts::FOLLOW_BEAT } else { consts::TENURE_SEEK };
-                w.follow_at = now + beat;
-                let msg = Msg::Follow { places: places(w), stamp: w.stamp };
-                if w.table.seats.is_empty() {
-                    out.push(Command::ToAll { msg: msg.clone() });
-                }
-                for seat in seats(w) {
-                    out.push(Command::ToSeat { seat, msg: msg.clone() });
-                }
-            }
+            feed::follow(w, now, &mut out);
             standing::gossip(w, now, &mut out);
             duty::wake(w, now, &mut out);
             duty::probe(w, now, &mut out);
@@ -77,6 +69,7 @@
         }
         Msg::Tell(cohort) if newer(&cohort, &w.cohort) => {
             w.cohort = cohort;
+            w.ring = ring(&w.cohort, &w.me.name);
             // What we saw lets others settle: say so at once.
             w.tenure.renew_at = 0;
         }
--- a/crates/grebe/src/cohort/watch.rs
+++ b/crates/grebe/src/cohort/watch.rs
@@ -5,6 +5,8 @@
 
 use indexmap::IndexMap;
 
+use super::feed::Feed;
+use super::ring::Ring;
 use crate::config::build::Built;
 use crate::consts::DRAIN_NOTICE;
 use crate::names::{PartId, Seat, parts};
@@ -39,6 +41,8 @@
     /// configuration is at once.
     pub publish_at: Tick,
     pub cohort: Cohort,
+    /// What follows from `cohort`.
+    pub ring: Ring,
     pub shared: Vec<(String, u32)>,
     pub peered: Vec<(String, u32, String)>,
     pub tenure: Tenure,
@@ -60,7 +64,9 @@
     /// Nothing is in hand any more; our tenure may be given back.
     pub drained: bool,
     pub follow_at: Tick,
-    pub gossip_at: Tick,
+    pub feed: Feed,
+    /// When we last asked our neighbours.
+    pub gossiped: Tick,
     /// When we last polled the list.
     pub list_at: Tick,
     /// When we last heard of a leaf that is gone; zero before that.
@@ -213,6 +219,7 @@
         stale: false,
         publish_at: now,
         cohort: Cohort::default(),
+        ring: Ring::default(),
         shared: Vec::new(),
         peered: Vec::new(),
         tenure: Tenure::default(),
@@ -227,7 +234,8 @@
         notice: DRAIN_NOTICE,
         drained: false,
         follow_at: now,
-        gossip_at: now,
+        feed: Feed::default(),
+        gossiped: 0,
         list_at: 0,
         gone_at: 0,
         now,
@@ -256,12 +264,13 @@
     for (i, h) in new.seats.iter().enumerate() {
         if w.table.seats.get(i).map(ballot) != Some(ballot(h)) {
             w.reach[i].clear();
+            w.feed.at.remove(&(i as Seat));
             w.tenure.seat = w.tenure.seat.filter(|s| usize::from(*s) != i);
         }
     }
     w.table = new;
     w.stamp = stamp(&w.table);
-    w.follow_at = 0;
+    (w.follow_at, w.feed.others_at) = (0, 0);
     out.push(Command::Seats);
 }
 
--- a/crates/grebe/src/consts.rs
+++ b/crates/grebe/src/consts.rs
@@ -67,6 +67,9 @@
 pub const FEED_KEPT: usize = 256;
 /// An operator's request without a result for this long is "unknown".
 pub const OPERATE_PATIENCE: Span = 8 * SECOND;
+/// How often an owner looks what all members obey while an operator waits: a
+/// look at a thousand takes a tenth of a millisecond, an operator feels none.
+pub const OBEY_LOOK: Span = ms(20);
 /// How long an owner waits with a change before it tells the seat that handed
 /// it over what is lacking; the seat asks again. Twice within the operator's
 /// patience, so that the reason is known when that ends.
@@ -134,8 +137,14 @@
 /// How long an owner that knows of no cohort gathers members before it says
 /// who they are; they seek ten times a second.
 pub const TENURE_GATHER: Span = ms(300);
-/// How often cohort members speak with each other.
+/// How often cohort members speak with each other when the core is not heard.
 pub const COHORT_BEAT: Span = ms(500);
+/// How often they do while the core's word is fresh: nothing rests on company
+/// then, and this only finds wires that have died before they are needed.
+pub const COHORT_CALM: Span = 2 * SECOND;
+/// Age of the core's word from which members speak at `COHORT_BEAT`: one
+/// renewal is lost. Two more beats before the grip would end at `TENURE_TRUST`.
+pub const COHORT_UNREST: Span = 2 * TENURE_BEAT;
 /// Neighbours each member speaks with (count): each member is heard by this
 /// many others, and the cost does not grow with the cohort.
 pub const COHORT_NEIGHBOURS: usize = 4;
@@ -144,8 +153,15 @@
 /// A lone cut-off member turns not ready after this long without the core, a
 /// second before it bounces: the platform checks readiness each second.
 pub const LONE_NOTICE: Span = ms(1_600);
-/// How often a querier asks the core for news it may have missed.
+/// How often a querier asks the seat that feeds it for news it may have missed.
 pub const FOLLOW_BEAT: Span = ms(400);
+/// How often it asks the other seats how far they are. News that its own seat
+/// lacks then comes at most this, a beat and a round trip late: half of the
+/// 3 s in which a change must be obeyed.
+pub const OTHERS_BEAT: Span = 2 * FOLLOW_BEAT;
+/// A seat that did not say for this long how far it is does not feed us: three
+/// asked in vain, less what the answer takes.
+pub const FEED_SILENCE: Span = ms(1_100);
 /// Least time between two views that differ in leafs only: a burst of changes
 /// to a large pool must not keep a light front busy building views.
 pub const VIEW_GAP: Span = ms(100);
