--- a/crates/grebe/tests/cold.rs
+++ b/crates/grebe/tests/cold.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use googletest::prelude::*;
 use grebe::luck::{below, chance, luck};
 use grebe::query::cold::{keeps, saved, spend};
 use grebe::query::leaf::leaf;
--- a/crates/grebe/tests/quota.rs
+++ b/crates/grebe/tests/quota.rs
@@ -98,6 +98,7 @@
         for len in [1, 1_000, 10_000] {
             let over = over(&seen, rate, len);
             let most = n.saturating_sub(rate.slack) as i64 * 1_000;
+            println!("{n} nodes: {over} thousandths over the rule in some {len} ms");
             assert!(over <= most, "{n} nodes: over by {over} of {most} in {len} ms");
         }
     }
