Give a leaf its health weight back within seconds once it rejects nothing

A leaf that rejects falls to 5% of its allocation; each good reply gave back 1%, and at 5% there are few replies, so that 12 s after leafs had recovered 74 to 91 of 100 alerts were full.

Ruled out: the restart of all (shrunk to leafs that reject in one zone, and their recovery).

Change: a second after the weight was last lowered each good reply doubles it, and a leaf whose weight leaves nothing is probed once a second. Constants stand beside the code, renamed.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -178,21 +178,6 @@
 pub const REST_MAX: Span = 8 * SECOND;
 /// Weight of a new sample in a leaf's typical time (1/n).
 pub const TYPICAL_WEIGHT: u64 = 8;
-/// What a leaf's part is lowered to by work turned away, and by a slow reply
-/// of a busy leaf (percent of what it was).
-pub const STRENGTH_TURNED_PCT: u32 = 70;
-pub const STRENGTH_SLOW_PCT: u32 = 85;
-/// What each good reply gives back (thousandths of the whole part), so that a
-/// part that was halved is whole again after a few seconds of good replies.
-pub const STRENGTH_RISE: u32 = 10;
-/// Least strength (thousandths): something must be asked to see it recover.
-pub const STRENGTH_MIN: u32 = 50;
-/// Time between two changes of a leaf's strength: dispatches that were out
-/// together tell of one moment, not of many.
-pub const STRENGTH_GAP: Span = ms(100);
-/// Length of a turn in which a part of a place is open or not: a few
-/// dispatches' time, so that turns do not overlap much.
-pub const STRENGTH_TURN: Span = ms(200);
 /// A busy leaf is strained when it says so from here on (thousandths) ...
 pub const BUSY_FROM: u32 = 950;
 /// ... and takes this many percent of its usual time and a little more.
--- a/crates/core/src/query/leaf.rs
+++ b/crates/core/src/query/leaf.rs
@@ -3,7 +3,29 @@
 use crate::consts;
 use crate::digest::{hash, pair};
 use crate::http_api::leaf::SelfReport;
-use crate::time::{MILLI, Span, Tick, ms, since};
+use crate::time::{MILLI, SECOND, Span, Tick, ms, since};
+
+/// What a leaf's health weight is lowered to by an attempt that it rejected (percent).
+const WEIGHT_AFTER_REJECTION_PCT: u32 = 70;
+/// What a leaf's health weight is lowered to by a slow reply of a busy leaf (percent).
+const WEIGHT_AFTER_SLOW_PCT: u32 = 85;
+/// What each good reply gives back (thousandths) soon after the weight was lowered, so
+/// that a leaf at its limit is brought up to it slowly.
+const WEIGHT_STEP: u32 = 10;
+/// The least health weight (thousandths): something must be sent to see it recover.
+const WEIGHT_MIN: u32 = 50;
+/// Time between two changes of a health weight: attempts that were out together tell of
+/// one moment, not of many.
+const WEIGHT_INTERVAL: Span = ms(100);
+/// Once nothing has lowered a weight for so long the leaf is no longer at its limit, and
+/// each good reply doubles the weight.
+const WEIGHT_RECOVERY: Span = SECOND;
+/// A leaf whose weight leaves it nothing is probed with one attempt this long after the
+/// weight last changed, if our allocation there is not empty.
+const WEIGHT_PROBE: Span = SECOND;
+/// Length of a turn in which a part of a slot is open or not: the time of a few
+/// attempts, so that turns do not overlap much.
+const WEIGHT_TURN: Span = ms(200);
 
 /// One leaf seen from one traffic thread.
 ///
@@ -36,7 +58,9 @@
     /// dispatch, and when that was last reckoned.
     pub slow_start_credit: u64,
     pub slow_start_credit_at: Tick,
-    /// When `strength` last changed.
+    /// When `health_weight` was last lowered.
+    pub health_weight_lowered_at: Tick,
+    /// When `health_weight` last changed.
     pub health_weight_changed_at: Tick,
     /// Time of a dispatch when the leaf is at ease.
     pub unloaded_latency: Span,
@@ -68,6 +92,7 @@
             connection_limit: None,
             slow_start_credit: 0,
             slow_start_credit_at: now,
+            health_weight_lowered_at: 0,
             health_weight_changed_at: 0,
             unloaded_latency: 0,
             rank: None,
@@ -128,7 +153,7 @@
 
     /// The leaf turned work away unrun.
     pub fn record_rejection(&mut self, now: Tick) {
-        self.lower_health_weight(consts::STRENGTH_TURNED_PCT, now);
+        self.lower_health_weight(WEIGHT_AFTER_REJECTION_PCT, now);
     }
 
     /// A good reply took this long: a busy leaf that takes much longer than it
@@ -141,29 +166,34 @@
         };
         let slow = took > self.unloaded_latency * consts::SLOW_PCT / 100 + consts::SLOW_MORE;
         if slow && self.busy_permille >= consts::BUSY_FROM {
-            self.lower_health_weight(consts::STRENGTH_SLOW_PCT, now);
+            self.lower_health_weight(WEIGHT_AFTER_SLOW_PCT, now);
         } else if self.health_weight < 1_000
-            && since(self.health_weight_changed_at, now) >= consts::STRENGTH_GAP
+            && since(self.health_weight_changed_at, now) >= WEIGHT_INTERVAL
         {
-            self.health_weight = (self.health_weight + consts::STRENGTH_RISE).min(1_000);
+            let has_recovered = since(self.health_weight_lowered_at, now) >= WEIGHT_RECOVERY;
+            let step = if has_recovered { self.health_weight } else { WEIGHT_STEP };
+            self.health_weight = (self.health_weight + step).min(1_000);
             self.health_weight_changed_at = now;
         }
     }
 
     fn lower_health_weight(&mut self, pct: u32, now: Tick) {
-        if since(self.health_weight_changed_at, now) >= consts::STRENGTH_GAP {
-            self.health_weight = (self.health_weight * pct / 100).max(consts::STRENGTH_MIN);
+        if since(self.health_weight_changed_at, now) >= WEIGHT_INTERVAL {
+            self.health_weight = (self.health_weight * pct / 100).max(WEIGHT_MIN);
             self.health_weight_changed_at = now;
+            self.health_weight_lowered_at = now;
         }
     }
 
-    /// What we use of our part of a leaf's allowance now. Parts are small whole
-    /// numbers, so what remains of a place is open for its share of the time;
-    /// `mine` makes the threads take turns.
-    pub fn usable_allocation(&self, part: u64, mine: u64, now: Tick) -> u64 {
-        let exact = part * u64::from(self.health_weight);
-        let turn = pair(self.hash ^ mine, now / consts::STRENGTH_TURN) % 1_000;
-        exact / 1_000 + u64::from(turn < exact % 1_000)
+    /// What we use of our allocation of a leaf now. Allocations are small whole numbers,
+    /// so what remains of a slot is open for its share of the time; `thread_id` makes the
+    /// threads take turns.
+    pub fn usable_allocation(&self, allocation: u64, thread_id: u64, now: Tick) -> u64 {
+        let exact = allocation * u64::from(self.health_weight);
+        let turn = pair(self.hash ^ thread_id, now / WEIGHT_TURN) % 1_000;
+        let usable = exact / 1_000 + u64::from(turn < exact % 1_000);
+        let is_probe_due = since(self.health_weight_changed_at, now) >= WEIGHT_PROBE;
+        usable.max(u64::from(is_probe_due)).min(allocation)
     }
 
     /// Notes a trouble; enough in a row rest the leaf, longer each time.
--- a/crates/simulator/tests/leaf_health.rs
+++ b/crates/simulator/tests/leaf_health.rs
@@ -34,3 +34,12 @@
     ]);
     assert_sound(30, &faults);
 }
+
+#[test]
+fn leafs_that_rejected_everything_serve_in_full_twelve_seconds_later() {
+    let faults = json!([
+        { "at_s": 27.4, "do": "leafs", "mode": "unrun", "ms": 286, "zone": "a" },
+        { "at_s": 44.0, "do": "mend-all", "factor": 0.3 },
+    ]);
+    assert_sound(60, &faults);
+}
