Serve on by proofs only with all that the others know of leaving leafs

A querier that woke while the controllers were out of reach served by the others' proofs 20 ms later, but the view with the leaving leaf reached its threads up to 100 ms after that; a proof also counted from a member that held newer leafs.

Ruled out: old proofs read late; the lease, which had lapsed.

Change: a proof counts if we lack nothing its giver holds; reports of leaving leafs are sent before an attestation; who begins to serve publishes its view first.

--- a/crates/core/src/membership/attestation.rs
+++ b/crates/core/src/membership/attestation.rs
@@ -39,12 +39,20 @@
         Some(self.proofs.attest(now, self.known_revision))
     }
 
-    /// Takes in an attestation that answers our question of `asked`. Tells whether
-    /// the other goes by a newer membership.
-    pub(super) fn on_attestation(&mut self, asked: Tick, attestation: &Attestation) -> bool {
+    /// Takes in an attestation that answers our question of `asked`. It counts only if
+    /// we lack nothing that the other holds (`is_behind`): who serves on by proofs must
+    /// not use leafs that the others know to be gone. Tells whether the other goes by a
+    /// newer membership.
+    pub(super) fn on_attestation(
+        &mut self,
+        asked: Tick,
+        attestation: &Attestation,
+        is_behind: bool,
+    ) -> bool {
         self.learn_revision(attestation.known_revision);
         let ours = self.proofs.membership;
-        let counts = attestation.membership == ours
+        let counts = !is_behind
+            && attestation.membership == ours
             && attestation.known_revision <= self.configuration_revision
             && attestation.ages.len() == self.proofs.asked.len();
         if counts {
@@ -62,6 +70,11 @@
         self.proofs.until
     }
 
+    /// Until when the proofs at hand allow to serve; zero if they don't.
+    pub fn proofs_valid_until(&self) -> Tick {
+        self.proofs.proved_until()
+    }
+
     /// How long ago we last attested, or started (ms).
     pub(super) fn quiet_ms(&self, now: Tick) -> u64 {
         since(self.proofs.attested_at.max(self.started_at), now) / MILLI
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -109,14 +109,15 @@
         commands: &mut Vec<Command>,
     ) {
         let Gossip { core_age_ms, ready, positions, asked, echo, attestation } = gossip;
-        let mut is_ahead = positions.iter().any(|theirs| {
+        let is_behind = positions.iter().any(|theirs| {
             self.partitions.get(&theirs.partition).is_some_and(|p| p.revision < theirs.revision)
         });
+        let mut is_ahead = is_behind;
         let configuration =
             positions.iter().find(|p| p.partition == CONFIG).map_or(0, |p| p.revision);
         self.learn_revision(configuration);
         if let (Some(echo), Some(attestation)) = (echo, &attestation) {
-            is_ahead |= self.on_attestation(echo, attestation);
+            is_ahead |= self.on_attestation(echo, attestation, is_behind);
         }
         if let Some(echo) = echo {
             let core_age = ms(core_age_ms);
@@ -124,6 +125,10 @@
         }
         if let Some(asked) = asked {
             let attestation = self.attest(now);
+            if attestation.is_some() {
+                // Who begins to serve by our word must not use leafs that we know to leave.
+                self.pass_on_urgent_reports(name, commands);
+            }
             let answer = self.gossip_answer(now, asked, attestation);
             self.send_to_member(name, answer, commands);
         }
--- a/crates/core/src/membership/leaf_reports.rs
+++ b/crates/core/src/membership/leaf_reports.rs
@@ -90,6 +90,19 @@
         }
     }
 
+    /// Sends another member all reports that can't wait and that the update stream does
+    /// not show yet.
+    pub(super) fn pass_on_urgent_reports(&self, name: &str, commands: &mut Vec<Command>) {
+        let mut by_partition = ReportsByPartition::new();
+        for pending in self.leaf_reports.values().filter(|pending| pending.is_urgent()) {
+            let reports = by_partition.entry(part_of(&pending.service)).or_default();
+            reports.push(pending.report.clone());
+        }
+        for (partition, reports) in by_partition {
+            self.send_to_member(name, Message::LeafReports { partition, reports }, commands);
+        }
+    }
+
     fn drop_shown_reports(&mut self) {
         let mut pending = std::mem::take(&mut self.leaf_reports);
         pending.retain(|leaf, pending| {
--- a/crates/core/src/membership/status.rs
+++ b/crates/core/src/membership/status.rs
@@ -45,7 +45,7 @@
             self.divide_quotas(cut_off, commands);
             self.update_leaf_clients(commands);
         }
-        self.update_serving_until(admission, &contact, commands);
+        self.update_serving_until(now, admission, &contact, commands);
         if admission != self.admission {
             if cut_off {
                 self.counters.lease_lapses += 1;
@@ -93,9 +93,11 @@
     }
 
     /// The traffic threads look at this themselves before they act: a process that
-    /// was paused wakes with an old limit and does nothing until it has a new one.
+    /// was paused wakes with an old limit and does nothing until it has a new one. Before
+    /// that they are given all that is known of the leafs.
     fn update_serving_until(
         &mut self,
+        now: Tick,
         admission: ServingState,
         contact: &CoreContact,
         commands: &mut Vec<Command>,
@@ -105,6 +107,10 @@
             _ => self.lease.valid_until().max(contact.proved_until),
         };
         if serving_until != self.serving_until {
+            if self.serving_until <= now && now < serving_until {
+                self.publish_at = now;
+                self.publish_view(now, commands);
+            }
             self.serving_until = serving_until;
             commands.push(Command::ServingUntil(serving_until));
         }
