Hold the rate of a cold leaf over the fleet by one thread under a lease

Cause: the thread that warms up a cold leaf was chosen among the members that each node knew of, settled or not. One that was cut off and one that had just joined could both send the whole rate, 40 a second where 35 are allowed.

Ruled out: dividing the rate (with 73 nodes and few a second nobody has a whole attempt).

Change: the choice goes by the settled quota share, which a lapsed lease fences; the leafs of a zone that is taken back count as cold for 3 s. In the simulator every engine sends all it may to two cold leafs, and the sum in any second is judged (rule 11).

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -203,9 +203,6 @@
 pub const FAR_MIN: Span = ms(2);
 /// What a cold leaf is reckoned slower (percent of its time).
 pub const COLD_PCT: u64 = 200;
-/// Dispatches that a cold leaf's keeper may send at once, in thousandths: below
-/// the half of a second's worth and the slack that the rule leaves above it.
-pub const COLD_BURST: u64 = 2_000;
 /// Time of a leaf that nobody has tried (reckoned).
 pub const UNTRIED: Span = ms(20);
 /// Share of the second tries' part that is used, against rounding (percent).
--- a/crates/core/src/query/cluster_update.rs
+++ b/crates/core/src/query/cluster_update.rs
@@ -28,6 +28,7 @@
                 leaf.note_minimum_age(info.age_ms, now);
             }
         }
+        self.note_zones_taken_back(now, &view);
         self.leafs.retain(|name, leaf| leaf.in_flight > 0 || view.leafs.contains_key(name));
         self.service_retry_budget.retain(|s| view.services.contains_key(s));
         self.latency_estimate.retain(|s| view.mappings.contains_key(s));
@@ -43,6 +44,26 @@
         }
     }
 
+    /// Notes the leafs of zones that were drained and are not any more.
+    fn note_zones_taken_back(&mut self, now: Tick, view: &ClusterView) {
+        let taken_back: BTreeSet<&String> = self
+            .cluster_view
+            .built
+            .drained
+            .iter()
+            .filter(|zone| !view.built.drained.contains(zone.as_str()))
+            .collect();
+        let stood = view
+            .leafs
+            .values()
+            .filter(|info| taken_back.iter().any(|zone| zone.as_str() == info.zone()));
+        for info in stood {
+            if let Some(leaf) = self.leafs.get_mut(&info.leaf) {
+                leaf.note_zone_taken_back(now);
+            }
+        }
+    }
+
     /// Takes a new share of what the fleet may do over.
     pub(super) fn replace_quota_share(&mut self, new: QuotaShare) {
         self.quota_share = new;
--- a/crates/core/src/query/leaf.rs
+++ b/crates/core/src/query/leaf.rs
@@ -58,6 +58,9 @@
     /// dispatch, and when that was last reckoned.
     pub slow_start_credit: u64,
     pub slow_start_credit_at: Tick,
+    /// From when on the platform's list tells whether the leaf is cold; before that it
+    /// counts as cold.
+    pub warmth_known_from: Tick,
     /// When `health_weight` was last lowered.
     pub health_weight_lowered_at: Tick,
     /// When `health_weight` last changed.
@@ -92,6 +95,7 @@
             connection_limit: None,
             slow_start_credit: 0,
             slow_start_credit_at: now,
+            warmth_known_from: 0,
             health_weight_lowered_at: 0,
             health_weight_changed_at: 0,
             unloaded_latency: 0,
--- a/crates/core/src/query/leaf_selection.rs
+++ b/crates/core/src/query/leaf_selection.rs
@@ -7,7 +7,6 @@
 use crate::config::route::{CompiledPool, Route};
 use crate::config::types::{BalancingMode, ServingMode};
 use crate::consts::REST_AFTER;
-use crate::query::connection_subset::ConnectingThread;
 use crate::query::leaf::LeafState;
 use crate::query::quota::QuotaShare;
 use crate::random::Random;
@@ -34,9 +33,6 @@
     pub quota_share: &'a QuotaShare,
     pub leafs: &'a IndexMap<String, LeafState>,
     pub zone: &'a str,
-    pub peers: &'a [ConnectingThread],
-    /// Our own thread among them.
-    pub thread_id: u64,
     pub now: Tick,
 }
 
@@ -151,10 +147,9 @@
     /// Whether a leaf is cold and not ours to send to now.
     fn is_held_cold(&self, leaf: &LeafState, info: &LeafInfo, pool: &CompiledPool) -> bool {
         let rate = u64::from(pool.cold_rate);
-        info.cold
-            && rate > 0
-            && !(leaf.is_warmed_up_by(self.peers, self.thread_id)
-                && leaf.slow_start_allowance(rate, self.now) >= 1_000)
+        rate > 0
+            && leaf.counts_as_cold(info.cold, self.now)
+            && !leaf.slow_start_admits(self.quota_share, rate, self.now)
     }
 
     /// A leaf that is steered by what is seen, if it has room.
--- a/crates/core/src/query/sending.rs
+++ b/crates/core/src/query/sending.rs
@@ -91,8 +91,6 @@
             quota_share: &self.quota_share,
             leafs: &self.leafs,
             zone: &self.zone,
-            peers: &self.peers,
-            thread_id: self.thread_id,
             now,
         };
         context.choose(
@@ -152,7 +150,7 @@
         let rate = pools.iter().find(|p| p.service == info.service).map_or(0, |p| p.cold_rate);
         if let Some(leaf) = self.leafs.get_mut(&info.leaf) {
             leaf.in_flight += 1;
-            if info.cold && rate > 0 {
+            if rate > 0 && leaf.counts_as_cold(info.cold, now) {
                 leaf.spend_slow_start_credit(u64::from(rate), now);
             }
         }
--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -4,38 +4,53 @@
 
 use std::collections::BTreeMap;
 
-use grebepath_core::query::connection_subset::ConnectingThread;
 use grebepath_core::query::leaf::LeafState;
+use grebepath_core::query::quota::QuotaShare;
 use grebepath_core::random::Random;
 use grebepath_core::time::{BOOT, SECOND, Tick, ms};
 
-fn nodes(n: usize) -> Vec<ConnectingThread> {
-    (0..n).map(|i| ConnectingThread { thread_id: i as u64 * 7_919 + 3, zone: "z".into() }).collect()
+fn threads(count: usize) -> Vec<u64> {
+    (0..count).map(|i| i as u64 * 7_919 + 3).collect()
+}
+
+fn share(threads: &[u64], own_thread: u64) -> QuotaShare {
+    QuotaShare { threads: threads.to_vec(), own_thread }
+}
+
+/// The threads that hold a thing if all go by the same members.
+fn holders(threads: &[u64], thing: u64) -> Vec<u64> {
+    threads.iter().copied().filter(|own| share(threads, *own).is_holder_of(thing)).collect()
 }
 
 #[googletest::test]
-fn each_cold_leaf_has_one_keeper_and_all_nodes_keep_some() {
+fn each_cold_leaf_has_one_thread_that_warms_it_up_and_all_threads_have_some() {
     // Guards against two nodes that each send a cold leaf all it bears.
-    let peers = nodes(9);
-    let mut kept: BTreeMap<u64, u64> = BTreeMap::new();
+    let all = threads(9);
+    let mut held: BTreeMap<u64, u64> = BTreeMap::new();
     for i in 0..900 {
-        let l = LeafState::new(&format!("i-{i}"), BOOT);
-        let who: Vec<u64> = peers
-            .iter()
-            .filter(|p| l.is_warmed_up_by(&peers, p.thread_id))
-            .map(|p| p.thread_id)
-            .collect();
-        assert_eq!(who.len(), 1, "{}", l.hash);
-        *kept.entry(who[0]).or_default() += 1;
+        let leaf = LeafState::new(&format!("i-{i}"), BOOT);
+        let holder = holders(&all, leaf.hash);
+        assert_eq!(holder.len(), 1, "{}", leaf.hash);
+        *held.entry(holder[0]).or_default() += 1;
         // Nobody else's leaf changes hands when a node goes.
-        let rest: Vec<ConnectingThread> =
-            peers.iter().filter(|p| p.thread_id != peers[4].thread_id).cloned().collect();
-        let then = rest.iter().find(|p| l.is_warmed_up_by(&rest, p.thread_id)).unwrap();
-        assert!(who[0] == peers[4].thread_id || then.thread_id == who[0]);
-        // Before anyone else is known, nobody sends.
-        assert!(!l.is_warmed_up_by(&[], peers[0].thread_id));
+        let rest: Vec<u64> = all.iter().copied().filter(|thread| *thread != all[4]).collect();
+        let then = holders(&rest, leaf.hash);
+        assert!(holder[0] == all[4] || then == holder);
+        // A thread without a share sends nothing.
+        assert!(!share(&[], all[0]).is_holder_of(leaf.hash));
+        assert!(!share(&rest, all[4]).is_holder_of(leaf.hash));
     }
-    assert!(kept.len() == 9 && kept.values().all(|n| (60..=140).contains(n)), "{kept:?}");
+    assert!(held.len() == 9 && held.values().all(|n| (60..=140).contains(n)), "{held:?}");
+}
+
+#[googletest::test]
+fn a_leaf_of_a_zone_that_is_taken_back_counts_as_cold_until_the_list_can_tell() {
+    let mut leaf = LeafState::new("i", BOOT);
+    assert!(!leaf.counts_as_cold(false, BOOT));
+    leaf.note_zone_taken_back(BOOT + SECOND);
+    assert!(leaf.counts_as_cold(false, BOOT + 3 * SECOND));
+    assert!(!leaf.counts_as_cold(false, BOOT + 5 * SECOND));
+    assert!(leaf.counts_as_cold(true, BOOT + 5 * SECOND));
 }
 
 #[googletest::test]
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// Rule 11: a cold leaf was sent so many attempts within a second.
+    pub fn check_cold_rate(&mut self, now: Tick, leaf: &str, sent: usize, most: usize) {
+        self.violated(now, 11, format!("cold {leaf} is sent {sent} in a second, {most} allowed"));
+    }
+
     /// A dispatch for a service of a query: the first of its kind, or a retry?
     pub fn record_attempt(&mut self, now: Tick, id: &str, service: &str) {
         let query = id.rsplit_once('.').map_or(id, |q| q.0);
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -55,6 +55,7 @@
             rules: Rules::default(),
             tallies: BTreeMap::new(),
             faulty_variant: None,
+            cold_leafs: Default::default(),
             highest_turn: 0,
             forgotten_memberships: Vec::new(),
             faults: Vec::new(),
--- /dev/null
+++ b/crates/simulator/src/world/cold_leafs.rs
@@ -0,0 +1,87 @@
+//! Cold leafs that stand for those of every pool with a rate: each query engine sends
+//! them whatever it may whenever its querier wakes. No message travels; what is judged is the sum
+//! over all engines, through changes of the membership, pauses, cuts and restarts.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use grebepath_core::query::leaf::LeafState;
+use grebepath_core::query::quota::QuotaShare;
+use grebepath_core::time::{BOOT, SECOND, Tick};
+
+use super::events::QueryEngineId;
+use super::faulty_variant::FaultyVariant;
+use super::{BEGIN, World};
+
+/// Leafs that are judged.
+const LEAFS: [&str; 2] = ["cold-1", "cold-2"];
+/// Attempts a second that each of them bears.
+const PER_SECOND: u64 = 20;
+/// The same in thousandths, as a configuration says it.
+const RATE: u64 = PER_SECOND * 1_000;
+/// What the brief allows in any second: half as much again, and five more.
+const MOST_IN_A_SECOND: usize = (PER_SECOND * 3 / 2 + 5) as usize;
+/// Queriers beyond which this is not played: each wake looks at all threads.
+const MOST_QUERIERS: usize = 20;
+
+/// What engines sent to cold leafs.
+#[derive(Default)]
+pub(super) struct ColdLeafs {
+    /// What each engine knows of each leaf.
+    known: BTreeMap<(QueryEngineId, usize), LeafState>,
+    /// When attempts were sent to each leaf, within the last second.
+    sent: [VecDeque<Tick>; LEAFS.len()],
+}
+
+impl World {
+    /// Lets the engines of a querier send all that they may to cold leafs now.
+    pub(super) fn send_to_cold_leafs(&mut self, querier: usize, life: u64) {
+        if self.queriers.len() > MOST_QUERIERS {
+            return;
+        }
+        for thread in 0..self.queriers[querier].query_engines.len() {
+            self.send_from_engine(QueryEngineId { querier, life, thread });
+        }
+    }
+
+    fn send_from_engine(&mut self, engine: QueryEngineId) {
+        let node = &self.queriers[engine.querier];
+        let local = self.now - node.began + BOOT;
+        let state = &node.query_engines[engine.thread];
+        if local > state.lease_valid_until {
+            return;
+        }
+        // The faulty variant goes by whom it knows of, whether that is settled or not.
+        let share = match self.faulty_variant {
+            Some(FaultyVariant::WarmsUpByUnsettledMembers) => QuotaShare {
+                threads: state.peers.iter().map(|peer| peer.thread_id).collect(),
+                own_thread: state.thread_id,
+            },
+            _ => state.quota_share.clone(),
+        };
+        let mut sent = Vec::new();
+        for (index, name) in LEAFS.iter().enumerate() {
+            let known = self.cold_leafs.known.entry((engine, index));
+            let leaf = known.or_insert_with(|| LeafState::new(name, BOOT));
+            while leaf.slow_start_admits(&share, RATE, local) {
+                leaf.spend_slow_start_credit(RATE, local);
+                sent.push(index);
+            }
+        }
+        for index in sent {
+            self.cold_leaf_is_sent(index);
+        }
+    }
+
+    fn cold_leaf_is_sent(&mut self, index: usize) {
+        let now = self.now;
+        let sent = &mut self.cold_leafs.sent[index];
+        sent.push_back(now);
+        while sent.front().is_some_and(|first| first + SECOND <= now) {
+            sent.pop_front();
+        }
+        let count = sent.len();
+        if count > MOST_IN_A_SECOND {
+            self.rules.check_cold_rate(now - BEGIN, LEAFS[index], count, MOST_IN_A_SECOND);
+        }
+    }
+}
--- a/crates/simulator/src/world/faulty_variant.rs
+++ b/crates/simulator/src/world/faulty_variant.rs
@@ -40,6 +40,8 @@
     /// Voters count by a voter set of their own, whoever speaks under
     /// whichever other.
     IgnoresOtherVoterSets,
+    /// Cold leafs are warmed up by the members that each one knows of, settled or not.
+    WarmsUpByUnsettledMembers,
     /// Leaders count what a voter acknowledged before its process restarted.
     CountsFormerAcknowledgements,
     /// A controller that is asked to stop ends before its successor holds the data.
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -13,6 +13,7 @@
 
 mod build;
 mod callers;
+mod cold_leafs;
 mod controller_commands;
 mod controller_disks;
 mod controllers;
@@ -78,6 +79,7 @@
     pub tallies: BTreeMap<String, CallOutcomes>,
     /// The way in which the fleet is faulty on purpose.
     pub faulty_variant: Option<FaultyVariant>,
+    cold_leafs: cold_leafs::ColdLeafs,
     /// The highest turn of a membership that a leader had.
     highest_turn: u64,
     /// Leaders that did not know of a membership that one before them had.
--- a/crates/simulator/src/world/time_loop.rs
+++ b/crates/simulator/src/world/time_loop.rs
@@ -65,6 +65,7 @@
             ScheduledEvent::QuerierTimer { querier, life } => {
                 self.push(membership_step::WAKE, ScheduledEvent::QuerierTimer { querier, life });
                 self.step_node_agent(querier, node_agent::Event::Wake);
+                self.send_to_cold_leafs(querier, life);
             }
             ScheduledEvent::NodeAgentEvent { querier, event, .. } => {
                 self.deliver_to_node_agent(querier, event);
--- /dev/null
+++ b/crates/simulator/tests/cold_leafs.rs
@@ -0,0 +1,102 @@
+//! The rate of cold leafs holds over the fleet, whatever happens to its membership.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use grebepath_simulator::scenario::{Scenario, play, read};
+use grebepath_simulator::world::FaultyVariant;
+use proptest::prelude::{Strategy, any, prop_assert};
+use proptest::{collection, prop_oneof, proptest};
+use serde_json::{Value, json};
+
+/// Queriers of the fleet.
+const QUERIERS: u64 = 5;
+/// Time in which faults strike (ms).
+const FAULTS_MS: u64 = 10_000;
+
+fn scenario(faults: Vec<Value>) -> Scenario {
+    let scenario = json!({ "name": "cold-leafs", "seconds": FAULTS_MS / 1_000 + 4,
+                           "queriers": QUERIERS, "factor": 0.05, "troubles": faults });
+    read(scenario.to_string().as_bytes(), &common::load)
+        .unwrap_or_else(|all| panic!("{}", grebepath_core::diagnostic::lines(&all)))
+}
+
+/// One fault of a querier, of a controller, or of the net between them.
+fn fault() -> impl Strategy<Value = Value> {
+    let at = (0..FAULTS_MS).prop_map(|ms| ms as f64 / 1e3);
+    let span = (1..40u64).prop_map(|tenths| tenths as f64 / 10.0);
+    let what = prop_oneof![
+        (0..QUERIERS).prop_map(|which| json!({ "do": "kill-querier", "which": which })),
+        (0..QUERIERS).prop_map(|which| json!({ "do": "stop-querier", "which": which })),
+        (0..QUERIERS).prop_map(|which| json!({ "do": "pause-querier", "which": which })),
+        (0..3u64).prop_map(|which| json!({ "do": "kill-seat", "which": which })),
+        (0..3u64).prop_map(|which| json!({ "do": "pause-seat", "which": which })),
+        (0..QUERIERS).prop_map(|which| {
+            json!({ "do": "cut", "a": [format!("q{which}")], "b": ["seat0", "seat1", "seat2"] })
+        }),
+        (0..QUERIERS, 0..QUERIERS).prop_map(|(a, b)| {
+            json!({ "do": "cut", "a": [format!("q{a}")], "b": [format!("q{b}")] })
+        }),
+        any::<bool>().prop_map(|_| json!({ "do": "heal" })),
+    ];
+    (at, span, what).prop_map(|(at, span, mut fault)| {
+        fault["at_s"] = json!(at);
+        let lasts = fault["do"] != "cut" && fault["do"] != "heal";
+        if lasts {
+            fault["for_s"] = json!(span);
+        }
+        fault
+    })
+}
+
+/// What is found wrong with the rate of cold leafs.
+fn violations(faults: &[Value], seed: u64, variant: Option<FaultyVariant>) -> Vec<String> {
+    let world = play(&scenario(faults.to_vec()), seed, variant);
+    let of_rate = world.rules.violations.iter().filter(|found| found.text.contains("cold"));
+    of_rate.map(|found| format!("{found:?}")).collect()
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: 48,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn no_second_has_more_than_a_cold_leaf_bears(
+        faults in collection::vec(fault(), 1..12),
+        seed in 1..1_000u64,
+    ) {
+        let found = violations(&faults, seed, None);
+        prop_assert!(found.is_empty(), "{found:?}");
+    }
+}
+
+/// One querier comes back after its lease has lapsed, just after another one was cut off,
+/// which serves on by its lease.
+fn one_returns_while_another_is_cut_off(returns: u64, cut_off: u64) -> Vec<Value> {
+    let others: Vec<String> = (0..QUERIERS).map(|q| format!("q{q}")).collect();
+    let seats: Vec<String> = (0..3).map(|seat| format!("seat{seat}")).collect();
+    let all: Vec<String> = others.into_iter().chain(seats).collect();
+    vec![
+        json!({ "do": "kill-querier", "at_s": 1.0, "which": returns, "for_s": 6.0 }),
+        json!({ "do": "cut", "at_s": 6.9, "a": [format!("q{cut_off}")], "b": all }),
+    ]
+}
+
+#[test]
+fn members_that_are_not_settled_and_warm_leafs_up_are_caught() {
+    let mut caught = 0;
+    for returns in 0..QUERIERS {
+        for cut_off in (0..QUERIERS).filter(|which| *which != returns) {
+            let faults = one_returns_while_another_is_cut_off(returns, cut_off);
+            assert!(violations(&faults, 1, None).is_empty());
+            let variant = Some(FaultyVariant::WarmsUpByUnsettledMembers);
+            caught += usize::from(!violations(&faults, 1, variant).is_empty());
+        }
+    }
+    assert!(caught > 0);
+}
