Cancel forwarded attempts that nobody waits for within 100 ms

Cause: a forwarded attempt whose caller had gone, whose shard was answered by a hedge or whose query had ended ran to its end and held a slot of its leaf, up to the deadline.

Ruled out: cancelling at once where the caller is still there: most losers end within their pause of 40 ms, and a closed connection costs the leaf a new one.

Change: the engine cancels such an attempt 80 ms later, at once when the caller goes, never one that may run once only. One without a reply for four times its leaf's usual time counts against the leaf.

--- a/crates/core/src/query/attempt.rs
+++ b/crates/core/src/query/attempt.rs
@@ -10,6 +10,12 @@
     pub service: String,
     pub id: String,
     pub sent_at: Tick,
-    /// It belongs to a call that is handed over.
+    /// It belongs to a request that is forwarded unchanged.
     pub forwarded: bool,
+    /// It may run once only, so that the leaf is left to finish it.
+    pub at_most_once: bool,
+    /// Nobody waits for its reply any more.
+    pub is_abandoned: bool,
+    /// It was overtaken by a later attempt, which already counts against its leaf.
+    pub is_overtaken: bool,
 }
--- a/crates/core/src/query/engine.rs
+++ b/crates/core/src/query/engine.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::attempt::Attempt;
+use super::cancellation::AbandonedAttempts;
 use super::connection_subset::ConnectingThread;
 use super::latency_estimate::LatencyEstimate;
 use super::leaf::LeafState;
@@ -48,6 +49,8 @@
     pub thread_id: u64,
     pub queries: IndexMap<u64, Query>,
     pub attempts: IndexMap<u64, Attempt>,
+    /// Attempts of `attempts` whose reply nobody waits for.
+    pub abandoned: AbandonedAttempts,
     pub leafs: IndexMap<String, LeafState>,
     pub retry_budget: RetryBudget,
     /// Second tries of calls that are handed over, by service.
@@ -75,6 +78,7 @@
             thread_id: 0,
             queries: IndexMap::new(),
             attempts: IndexMap::new(),
+            abandoned: AbandonedAttempts::default(),
             leafs: IndexMap::new(),
             retry_budget: RetryBudget::new(now),
             service_retry_budget: ServiceRetryBudget::new(RetryRate::standard()),
--- a/crates/core/src/query/finishing.rs
+++ b/crates/core/src/query/finishing.rs
@@ -69,7 +69,7 @@
                         .or_default() += 1;
                     query.executed = true;
                 }
-                self.cancel_attempt(attempt_id, commands);
+                self.abandon_attempt(now, attempt_id, commands);
             }
         }
     }
--- a/crates/core/src/query/leaf.rs
+++ b/crates/core/src/query/leaf.rs
@@ -23,6 +23,9 @@
 /// A leaf whose weight leaves it nothing is probed with one attempt this long after the
 /// weight last changed, if our allocation there is not empty.
 const WEIGHT_PROBE: Span = SECOND;
+/// An attempt without a reply after this many times the leaf's typical time counts as a
+/// failure when it is cancelled: a leaf at its limit takes two or three times as long.
+const SILENT_AFTER_TIMES: u64 = 4;
 /// Length of a turn in which a part of a slot is open or not: the time of a few
 /// attempts, so that turns do not overlap much.
 const WEIGHT_TURN: Span = ms(200);
@@ -155,6 +158,21 @@
         };
     }
 
+    /// Whether an attempt that has taken this long without a reply tells of a leaf that
+    /// is silent rather than busy.
+    pub fn is_unusually_slow(&self, took: Span) -> bool {
+        self.typical_latency > 0 && took > self.typical_latency * SILENT_AFTER_TIMES
+    }
+
+    /// An attempt was cancelled that had taken this long: the leaf takes that long at
+    /// least.
+    pub fn record_unfinished(&mut self, took: Span) {
+        if took > self.typical_latency {
+            let rise = (took - self.typical_latency) / consts::TYPICAL_WEIGHT;
+            self.typical_latency += rise;
+        }
+    }
+
     /// The leaf turned work away unrun.
     pub fn record_rejection(&mut self, now: Tick) {
         self.lower_health_weight(WEIGHT_AFTER_REJECTION_PCT, now);
--- a/crates/core/src/query/leaf_feedback.rs
+++ b/crates/core/src/query/leaf_feedback.rs
@@ -38,14 +38,15 @@
         commands: &mut Vec<Command>,
     ) {
         for other in others {
-            if let Some(late) = self.attempts.get(other)
+            if let Some(late) = self.attempts.get_mut(other)
                 && late.sent_at < attempt.sent_at
                 && let Some(leaf) = self.leafs.get_mut(&late.leaf)
             {
+                late.is_overtaken = true;
                 leaf.record_failure(now);
                 *self.statistics.failures.entry(AttemptFailure::Overtaken).or_default() += 1;
             }
-            self.cancel_attempt(*other, commands);
+            self.abandon_attempt(now, *other, commands);
         }
     }
 }
--- a/crates/core/src/query/progress.rs
+++ b/crates/core/src/query/progress.rs
@@ -10,7 +10,8 @@
 impl QueryEngine {
     /// When `step` wants to be woken next.
     pub fn next_due(&self) -> Option<Tick> {
-        self.queries.values().map(Query::next_due).min()
+        let of_queries = self.queries.values().map(Query::next_due).min();
+        of_queries.into_iter().chain(self.abandoned.next_due()).min()
     }
 
     /// Takes a planned query in hand, or sends its caller away.
--- a/crates/core/src/query/sending.rs
+++ b/crates/core/src/query/sending.rs
@@ -162,6 +162,9 @@
             id: format!("{}.{attempt_id}", query.name),
             sent_at: now,
             forwarded: query.forwarded.is_some(),
+            at_most_once: query.route.once,
+            is_abandoned: false,
+            is_overtaken: false,
         };
         commands.push(Command::Send(self.outgoing_attempt(now, query, info, attempt_id, &attempt)));
         self.attempts.insert(attempt_id, attempt);
--- a/crates/core/src/query/step.rs
+++ b/crates/core/src/query/step.rs
@@ -44,6 +44,7 @@
             }
             Event::Timer => self.advance_queries(now, &mut commands),
         }
+        self.cancel_abandoned(now, &mut commands);
         // Given-up dispatches leave room behind that waiting queries can use.
         if commands.iter().any(|c| matches!(c, Command::CancelAttempt { .. })) {
             self.advance_queries(now, &mut commands);
--- a/crates/server/src/testbed/foreign.rs
+++ b/crates/server/src/testbed/foreign.rs
@@ -92,6 +92,8 @@
     leafs: Vec<Leaf>,
     pub mode: Vec<(String, Mode)>,
     pub runs: Vec<Run>,
+    /// Requests that a mute leaf worked on when their connection was closed, by id.
+    pub closed: Vec<String>,
     go: Rc<Notify>,
     /// Seeds the draws of leafs that draw their conduct, and counts them.
     pub draws: u64,
@@ -296,7 +298,12 @@
         match mode {
             Mode::Hold => go.notified().await,
             Mode::Late => tokio::time::sleep(std::time::Duration::from_secs(1)).await,
-            Mode::Mute => std::future::pending().await,
+            Mode::Mute => {
+                // Nothing more comes on the connection but its end.
+                let _ = stream.read(&mut [0u8; 1]).await;
+                world.borrow_mut().closed.push(id);
+                return Ok(());
+            }
             Mode::ResetAfter => return reset(&stream),
             _ => {}
         }
--- a/crates/server/tests/foreign.rs
+++ b/crates/server/tests/foreign.rs
@@ -627,6 +627,40 @@
 }
 
 /// Writes bytes on a new connection and reads all that comes until its end.
+/// How soon a leaf must have seen that nobody waits for its reply any more: a tenth of a
+/// second, with time to spare for a busy machine.
+const SEEN_CLOSED: Duration = Duration::from_millis(1_500);
+
+#[googletest::test]
+fn a_leaf_sees_soon_that_nobody_waits_for_it_any_more() {
+    // Guards against slots that are held by work for nobody until its deadline (8 s).
+    block(async {
+        let s = begun("foreign-closed").await;
+        for id in ["i-a1", "i-a2", "i-a3", "i-c1", "i-c2"] {
+            foreign::order(&s.world, id, Mode::Mute);
+        }
+        // The caller goes.
+        let mut connection = tokio::net::TcpStream::connect(s.fronts[0]).await.unwrap();
+        let text = "GET /pass/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: c0ffee01\r\n\
+                    deadline-ms: 8000\r\n\r\n";
+        connection.write_all(text.as_bytes()).await.unwrap();
+        let runs = || s.world.borrow().runs.iter().any(|run| run.id == "c0ffee01");
+        assert!(until(LONG, async || runs()).await, "no leaf ran it");
+        drop(connection);
+        let closed = || s.world.borrow().closed.iter().any(|id| id == "c0ffee01");
+        assert!(until(SEEN_CLOSED, async || closed()).await, "its leaf works on");
+        // A quorum of two shards in three is in at the target, and the third is mute.
+        for id in ["i-a1", "i-a2", "i-a3"] {
+            foreign::order(&s.world, id, Mode::Good);
+        }
+        let (id, response) = call(&s, 0, "GET", "/join/x", "").await.unwrap();
+        expect_that!(response.status().as_u16(), eq(200));
+        expect_that!(head(&response, "missing-parts"), eq("1"));
+        let closed = || s.world.borrow().closed.contains(&id);
+        assert!(until(SEEN_CLOSED, async || closed()).await, "the third shard works on");
+    });
+}
+
 async fn raw(s: &Site, bytes: &[u8]) -> String {
     let mut connection = tokio::net::TcpStream::connect(s.fronts[0]).await.unwrap();
     let (mut from, mut to) = connection.split();
