Free a cancelled attempt's slot once its close has reached the leaf

A cancelled attempt freed its slot at once; the next request, on another connection, came up to 2 ms before the close. With two threads doing so a fresh leaf had 4 attempts in flight and bears 2.

Ruled out: shares given twice (each thread had one slot, by the trace of the leaf).

--- a/crates/core/src/query/engine.rs
+++ b/crates/core/src/query/engine.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::attempt::Attempt;
-use super::cancellation::AbandonedAttempts;
+use super::cancellation::{AbandonedAttempts, ClosingSlots};
 use super::connection_subset::ConnectingThread;
 use super::latency_estimate::LatencyEstimate;
 use super::leaf::LeafState;
@@ -51,6 +51,8 @@
     pub attempts: IndexMap<u64, Attempt>,
     /// Attempts of `attempts` whose reply nobody waits for.
     pub abandoned: AbandonedAttempts,
+    /// Slots of leafs whose attempts were cancelled a moment ago.
+    pub closing: ClosingSlots,
     pub leafs: IndexMap<String, LeafState>,
     pub retry_budget: RetryBudget,
     /// Second tries of calls that are handed over, by service.
@@ -79,6 +81,7 @@
             queries: IndexMap::new(),
             attempts: IndexMap::new(),
             abandoned: AbandonedAttempts::default(),
+            closing: ClosingSlots::default(),
             leafs: IndexMap::new(),
             retry_budget: RetryBudget::new(now),
             service_retry_budget: ServiceRetryBudget::new(RetryRate::standard()),
--- a/crates/core/src/query/forwarding.rs
+++ b/crates/core/src/query/forwarding.rs
@@ -25,7 +25,7 @@
         result: Result<LeafReply, AttemptFailure>,
         commands: &mut Vec<Command>,
     ) {
-        self.release_leaf(attempt);
+        self.release_leaf(&attempt.leaf);
         let class = self.classify(query, attempt, &result);
         self.note_leaf_result(now, attempt, class.how());
         if class.how().is_ok() {
--- a/crates/core/src/query/progress.rs
+++ b/crates/core/src/query/progress.rs
@@ -11,7 +11,8 @@
     /// When `step` wants to be woken next.
     pub fn next_due(&self) -> Option<Tick> {
         let of_queries = self.queries.values().map(Query::next_due).min();
-        of_queries.into_iter().chain(self.abandoned.next_due()).min()
+        let of_attempts = [self.abandoned.next_due(), self.closing.next_due()];
+        of_queries.into_iter().chain(of_attempts.into_iter().flatten()).min()
     }
 
     /// Takes a planned query in hand, or sends its caller away.
--- a/crates/core/src/query/replies.rs
+++ b/crates/core/src/query/replies.rs
@@ -25,7 +25,7 @@
         }
         let Some(mut query) = self.queries.swap_remove(&attempt.query) else {
             self.note_late_reply(now, &attempt, &result);
-            self.release_leaf(&attempt);
+            self.release_leaf(&attempt.leaf);
             return self.advance_queries(now, commands);
         };
         if query.forwarded.is_some() {
@@ -48,7 +48,7 @@
         commands: &mut Vec<Command>,
     ) {
         let checked = result.and_then(|raw| self.check_reply(query, attempt, &raw));
-        self.release_leaf(attempt);
+        self.release_leaf(&attempt.leaf);
         self.note_leaf_result(now, attempt, checked.as_ref().map(|_| ()).map_err(|why| *why));
         let shard = &mut query.shards[attempt.shard];
         shard.in_flight.retain(|o| *o != attempt_id);
--- a/crates/core/src/query/step.rs
+++ b/crates/core/src/query/step.rs
@@ -9,6 +9,7 @@
     /// Takes one event and says what to do.
     pub fn step(&mut self, now: Tick, event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
+        let has_room = self.release_closed(now);
         match event {
             Event::Search { call, request } => {
                 let query = self.plan_search(now, call, request);
@@ -21,7 +22,7 @@
             Event::AttemptEnded { attempt: dispatch, result } => {
                 self.attempt_ended(now, dispatch, result, &mut commands)
             }
-            Event::CallerGone { call } => self.caller_gone(call, &mut commands),
+            Event::CallerGone { call } => self.caller_gone(now, call, &mut commands),
             Event::ClusterView(view) => {
                 self.replace_view(now, view);
                 self.advance_queries(now, &mut commands);
@@ -45,8 +46,8 @@
             Event::Timer => self.advance_queries(now, &mut commands),
         }
         self.cancel_abandoned(now, &mut commands);
-        // Given-up dispatches leave room behind that waiting queries can use.
-        if commands.iter().any(|c| matches!(c, Command::CancelAttempt { .. })) {
+        // Cancelled attempts leave room behind that waiting queries can use.
+        if has_room || commands.iter().any(|c| matches!(c, Command::CancelAttempt { .. })) {
             self.advance_queries(now, &mut commands);
         }
         commands
