Wait for room when a controller starts on a full disk, and say so

Ruled out: writes while it runs, which are tried again.

Change: without room it listens, answers 503 with the reason and when to come back, and tries again each 250 ms; SIGHUP does not end it, SIGTERM does. Errors of files name the file and the operation. A closed standard output does not end a controller.

--- a/crates/runtime/src/disk/partition_store.rs
+++ b/crates/runtime/src/disk/partition_store.rs
@@ -12,7 +12,7 @@
 use grebepath_core::storage::writer;
 
 use super::data_folder::{read_if_present, sync_folder, write_synced};
-use super::error::{ScrubError, StorageError};
+use super::error::{FileOperation, ScrubError, StorageError, WithFile};
 
 /// The files of a partition, in the order in which the reader takes them.
 const FILES: [&str; 3] = ["slot-0", "slot-1", "log"];
@@ -41,7 +41,7 @@
     ) -> Result<(PartitionStore, StoredReplica), StorageError> {
         let folder = folder_of(data, partition);
         if !folder.exists() {
-            fs::create_dir_all(&folder)?;
+            fs::create_dir_all(&folder).with_file(FileOperation::CreateFolder, &folder)?;
             sync_folder(data)?;
         }
         let mut found = read_files(partition, |name| read_if_present(&folder.join(name)))?;
@@ -71,9 +71,10 @@
     pub fn append(&mut self, record: &LogRecord) -> Result<(), StorageError> {
         let Some(log) = &mut self.log else { return Err(StorageError::NoLog) };
         let raw = writer::record(self.sequence, self.records, record);
-        if let Err(e) = log.write_all(&raw) {
+        let written = log.write_all(&raw).with_file(FileOperation::Write, &self.log_path());
+        if written.is_err() {
             self.log = None;
-            return Err(e.into());
+            return written;
         }
         self.records += 1;
         Ok(())
@@ -82,12 +83,12 @@
     /// Syncs what was appended.
     pub fn sync(&mut self) -> Result<(), StorageError> {
         let Some(log) = &self.log else { return Err(StorageError::NoLog) };
-        if let Err(e) = log.sync_data() {
+        let synced = log.sync_data().with_file(FileOperation::Sync, &self.log_path());
+        if synced.is_err() {
             // What the kernel kept of it is unknown: never append behind it.
             self.log = None;
-            return Err(e.into());
         }
-        Ok(())
+        synced
     }
 
     /// Writes a snapshot into the other slot and begins a new log.
@@ -98,16 +99,21 @@
         write_synced(&slot, &writer::slot(self.partition.0, sequence, state))?;
         sync_folder(&self.folder)?;
         let new = self.folder.join("log.new");
-        let log = self.folder.join("log");
+        let log = self.log_path();
         write_synced(&new, &writer::log_head(self.partition.0, sequence))?;
-        fs::rename(&new, &log)?;
+        fs::rename(&new, &log).with_file(FileOperation::Rename, &new)?;
         sync_folder(&self.folder)?;
-        self.log = Some(OpenOptions::new().append(true).open(&log)?);
+        let opened = OpenOptions::new().append(true).open(&log);
+        self.log = Some(opened.with_file(FileOperation::Open, &log)?);
         self.sequence = sequence;
         self.records = 0;
         Ok(())
     }
 
+    fn log_path(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
     /// Reads the files again, from the disk itself as far as the system lets us, and
     /// compares them with what was written.
     pub fn scrub(&self) -> Result<(), ScrubError> {
@@ -159,14 +165,13 @@
 /// A file's bytes as the disk has them, or nothing if there is no such file.
 fn read_uncached(path: &Path) -> Result<Option<Vec<u8>>, StorageError> {
     let mut file = match File::open(path) {
-        Ok(file) => file,
         Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
-        Err(e) => return Err(e.into()),
+        opened => opened.with_file(FileOperation::Read, path)?,
     };
     // Pages in memory would hide what has become of the disk.
     let _ = rustix::fs::fadvise(&file, 0, None, rustix::fs::Advice::DontNeed);
     let mut raw = Vec::new();
-    file.read_to_end(&mut raw)?;
+    file.read_to_end(&mut raw).with_file(FileOperation::Read, path)?;
     Ok(Some(raw))
 }
 
@@ -181,11 +186,12 @@
     if !FILES.iter().any(|name| folder.join(name).exists()) {
         return Ok(());
     }
-    fs::create_dir(&target)?;
+    fs::create_dir(&target).with_file(FileOperation::CreateFolder, &target)?;
     sync_folder(folder)?;
     for name in FILES {
         if folder.join(name).exists() {
-            fs::rename(folder.join(name), target.join(name))?;
+            let file = folder.join(name);
+            fs::rename(&file, target.join(name)).with_file(FileOperation::Rename, &file)?;
         }
     }
     sync_folder(&target)?;
--- a/crates/server/src/controller/error.rs
+++ b/crates/server/src/controller/error.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use grebepath_runtime::disk::error::StorageError;
+use grebepath_runtime::disk::error::{StorageError, is_out_of_room};
 use thiserror::Error;
 
 /// Why the controller could not start or go on.
@@ -28,3 +28,14 @@
     #[error("a thread failed")]
     ThreadFailed,
 }
+
+impl ControllerError {
+    /// Whether the disk has no room: the same may go well later.
+    pub fn is_out_of_room(&self) -> bool {
+        match self {
+            ControllerError::Storage(error) => error.is_out_of_room(),
+            ControllerError::Io(error) => is_out_of_room(error),
+            _ => false,
+        }
+    }
+}
--- a/crates/server/src/controller/main.rs
+++ b/crates/server/src/controller/main.rs
@@ -7,6 +7,7 @@
 mod controller_io;
 mod controller_thread;
 mod disk_thread;
+mod disk_wait;
 mod error;
 mod messages;
 mod metrics;
@@ -14,18 +15,19 @@
 mod settings;
 mod startup;
 
+use std::io::Write;
 use std::sync::mpsc;
 
 use grebepath_core::identifiers::PartitionId;
 use grebepath_core::protocol::replica::ReplicaCondition;
 use grebepath_core::storage::record::ReplicaState;
 use grebepath_runtime::clock::Clock;
-use grebepath_runtime::disk::data_folder;
 use tracing::error;
 
 use crate::disk_thread::DiskThread;
 use crate::error::ControllerError;
 use crate::settings::Settings;
+use crate::startup::OpenDisk;
 
 fn main() {
     grebepath_runtime::log_buffer::install();
@@ -37,19 +39,24 @@
     }
 }
 
+/// Says something to whoever started us. Nobody need read it any more.
+fn announce(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
 /// A partition as found on disk, ready for the state machine.
 type FoundReplica = (PartitionId, ReplicaCondition, ReplicaState, u64);
 
 fn run(settings: Settings) -> Result<(), ControllerError> {
-    let _lock = data_folder::lock(&settings.data)?;
-    settings.claim_data_folder()?;
-    let disk = startup::read_disk(&settings)?;
-    // All settings are good and the disk was read: now ports are opened.
-    let listener = std::net::TcpListener::bind(settings.inner)?;
     let operators = grebepath_runtime::http::server::listen(settings.listen, 1)?.remove(0);
+    let Some(OpenDisk { lock: _lock, disk }) = disk_wait::open_disk(&settings, &operators)? else {
+        return Ok(());
+    };
+    // The other processes hear of us once all settings are good and the disk was read.
+    let listener = std::net::TcpListener::bind(settings.inner)?;
     let name = settings.slot.map_or("-".to_string(), |slot| slot.to_string());
     let (inner, door) = (listener.local_addr()?, operators.local_addr()?);
-    println!("controller {name} inner {inner} door {door}");
+    announce(&format!("controller {name} inner {inner} door {door}"));
     let clock = Clock::new();
     let (disk_jobs, jobs) = mpsc::channel();
     let (events, inputs) = tokio::sync::mpsc::unbounded_channel();
--- a/crates/server/src/controller/startup.rs
+++ b/crates/server/src/controller/startup.rs
@@ -1,5 +1,7 @@
 //! What a controller finds on its disk when it starts, and what it makes of it.
 
+use std::fs::File;
+
 use grebepath_core::identifiers::{PartitionId, partitions};
 use grebepath_core::protocol::replica::ReplicaCondition;
 use grebepath_core::storage::reader::StoredReplica;
@@ -12,6 +14,7 @@
 use tracing::warn;
 
 use crate::FoundReplica;
+use crate::error::ControllerError;
 use crate::settings::Settings;
 
 /// The disk at the start, ready for use.
@@ -26,28 +29,48 @@
     pub failed: Vec<(PartitionId, String)>,
 }
 
+/// The data folder, which is ours as long as this lives.
+pub struct OpenDisk {
+    /// Keeps other processes from the folder.
+    pub lock: File,
+    /// What the folder holds.
+    pub disk: Disk,
+}
+
+/// Takes the data folder and reads it.
+pub fn open(settings: &Settings) -> Result<OpenDisk, ControllerError> {
+    let lock = data_folder::lock(&settings.data)?;
+    settings.claim_data_folder()?;
+    let disk = read_disk(settings)?;
+    Ok(OpenDisk { lock, disk })
+}
+
 /// Reads all files and settles who this controller is.
-pub fn read_disk(settings: &Settings) -> Result<Disk, StorageError> {
+fn read_disk(settings: &Settings) -> Result<Disk, StorageError> {
     let data = &settings.data;
     let known = data_folder::read_voter_file(data)?;
     let nonce = nonce();
     let blank = partitions().all(|partition| is_blank(data, partition));
     let (voter_file, set_aside) = begin(known, &settings.start(), blank, nonce);
-    let (stores, replicas, failed) = (Vec::new(), Vec::new(), Vec::new());
-    let mut disk = Disk { voter_file, stores, replicas, failed };
+    let mut opened = Vec::new();
     for partition in partitions() {
         let (mut store, mut found) = PartitionStore::open(data, partition)?;
         if set_aside {
-            warn!(part = %partition, "the files are of a seat given to another; set aside");
+            warn!(part = %partition, "the files are of a slot given to another; set aside");
             store.set_aside()?;
             found = StoredReplica::Empty;
         }
+        opened.push((partition, store, found));
+    }
+    // Nothing may be said as who we are before that is on disk.
+    data_folder::write_voter_file(data, &voter_file)?;
+    let (stores, replicas, failed) = (Vec::new(), Vec::new(), Vec::new());
+    let mut disk = Disk { voter_file, stores, replicas, failed };
+    for (partition, mut store, found) in opened {
         let (condition, state) = take(&mut store, partition, found, &mut disk.failed);
         disk.replicas.push((partition, condition, state, 0));
         disk.stores.push(store);
     }
-    // Nothing may be said as who we are before that is on disk.
-    data_folder::write_voter_file(data, &disk.voter_file)?;
     Ok(disk)
 }
 
--- a/crates/server/src/testbed/local_cluster/process.rs
+++ b/crates/server/src/testbed/local_cluster/process.rs
@@ -120,13 +120,32 @@
             self.args.drain(..3);
         }
         if let Some(n) = blocks {
-            let script = format!("trap '' XFSZ; ulimit -f {n}; exec \"$0\" \"$@\"");
+            let script = format!("trap '' XFSZ; ulimit -S -f {n}; exec \"$0\" \"$@\"");
             let program = std::mem::replace(&mut self.program, SHELL.into());
             let program = program.display().to_string();
             self.args.splice(0..0, ["-c".to_string(), script, program]);
         }
     }
 
+    /// Lifts the limit on file sizes from the running process: its disk has room again.
+    pub fn lift_file_size_limit(&self) -> Result<(), LocalClusterError> {
+        use rustix::process::{Pid, Resource, Rlimit, getrlimit, prlimit};
+        let child = self.child.as_ref();
+        let pid = child.and_then(|child| Pid::from_raw(child.id().cast_signed()));
+        let Some(pid) = pid else {
+            return Err(LocalClusterError::NotRunning { process: self.name.clone() });
+        };
+        // Only the soft limit was set, and ours are inherited.
+        let own: Rlimit = getrlimit(Resource::Fsize);
+        prlimit(Some(pid), Resource::Fsize, own).map_err(std::io::Error::from)?;
+        Ok(())
+    }
+
+    /// The first line that the process printed since its last start.
+    pub fn first_line(&self) -> &str {
+        &self.first
+    }
+
     /// The argument of a flag.
     pub(super) fn argument(&self, flag: &'static str) -> Result<String, LocalClusterError> {
         let at = self.args.iter().position(|arg| arg == flag);
--- a/crates/server/tests/disk_faults.rs
+++ b/crates/server/tests/disk_faults.rs
@@ -59,6 +59,54 @@
     });
 }
 
+#[googletest::test]
+fn a_controller_that_starts_on_a_full_disk_says_so_and_goes_on_by_itself() {
+    block(async {
+        let mut f = LocalCluster::up(layout("full-start", "mohalla", 3)).await.unwrap();
+        all_ready(&f).await;
+        let seat = f.config_leader().await.unwrap();
+        f.controllers[seat].kill();
+        f.controllers[seat].limit_file_size(Some(0));
+        f.controllers[seat].start().unwrap();
+        let line = f.controllers[seat].first_line().to_string();
+        expect_that!(line, contains_substring("waits for its disk"));
+        // Which file, and what was tried.
+        expect_that!(line, contains_substring("can't write"));
+        expect_that!(line, contains_substring("seats.new"));
+        let door = f.doors[seat];
+        for path in ["readyz", "v1/status", "api/config"] {
+            let request = hyper::Request::get(format!("http://{door}/{path}"))
+                .body(http_body_util::Full::default())
+                .unwrap();
+            let response = f.http.call_within(request, 1 << 16, LONG).await.unwrap();
+            expect_that!(response.status().as_u16(), eq(503), "{path}");
+            expect_that!(response.headers().contains_key("retry-after"), eq(true));
+            let text = String::from_utf8_lossy(response.body()).to_string();
+            expect_that!(text, contains_substring("the disk can't be written"));
+        }
+        let alive = local_cluster::text(&f.http, format!("http://{door}/livez")).await;
+        expect_that!(alive, some(eq("ok\n")));
+        // A hang-up does not end it, and the two others go on without it.
+        f.controllers[seat].signal("HUP").unwrap();
+        let val = json!({ "zones": [{ "name": "meanwhile", "state": "open" }] });
+        f.patch(&val, "meanwhile").await.unwrap();
+        f.controllers[seat].lift_file_size_limit().unwrap();
+        assert!(local_cluster::until(LONG, || has_all_roles(&f, seat)).await);
+    });
+}
+
+#[googletest::test]
+fn a_controller_that_waits_for_its_disk_ends_when_it_is_asked_to() {
+    block(async {
+        let mut f = LocalCluster::up(layout("full-stop", "mohalla", 3)).await.unwrap();
+        f.controllers[0].kill();
+        f.controllers[0].limit_file_size(Some(0));
+        f.controllers[0].start().unwrap();
+        f.controllers[0].signal("TERM").unwrap();
+        expect_that!(f.controllers[0].wait_for_end(LONG), some(eq(0)));
+    });
+}
+
 /// One number of a process's metrics.
 async fn metric(f: &LocalCluster, addr: SocketAddr, name: &str) -> Option<u64> {
     let text = local_cluster::text(&f.http, format!("http://{addr}/metrics")).await?;
