Simulator: a close travels at the latency of the moment at which it is sent

A close took the latency of its request, 45 ms, though the net was healed meanwhile, and a later request overtook it.

Ruled out: quotas (each thread had one slot, by the trace of the leaf).

Change: the close takes the latency of now, and comes behind its request at the earliest.

--- a/crates/simulator/src/world/leafs.rs
+++ b/crates/simulator/src/world/leafs.rs
@@ -54,21 +54,26 @@
         // Giving up closes the connection, which the leaf sees a moment later.
         let closed = sending.timeout + CLOSE_DELAY + latency;
         self.push(closed, ScheduledEvent::LeafDisconnect { key });
-        let request = RequestUnderWay { latency, closed: false };
+        let request = RequestUnderWay { arrives_at: self.now + latency, closed: false };
         self.requests_under_way.insert(key, request);
         self.push(latency, ScheduledEvent::LeafRequest { engine, sending: Box::new(sending) });
     }
 
-    /// The sender of an attempt closes its connection: the leaf hears of it as late as of
-    /// the request, and never before it.
+    /// The sender of an attempt closes its connection: the leaf hears of it as late as the
+    /// net is slow now, and never before the request.
     pub(super) fn close_attempt(&mut self, key: AttemptKey) {
         let run = self.runs_by_attempt.get(&key).and_then(|run| self.runs.get(run));
-        let latency = match (run, self.requests_under_way.get(&key)) {
-            (Some(run), _) => run.latency,
-            (None, Some(request)) => request.latency,
+        let leaf_zone = run.and_then(|run| self.backends.leafs.get(&run.leaf));
+        let leaf_zone = leaf_zone.map_or("a".into(), |leaf| leaf.zone.clone());
+        let after_request = match (run, self.requests_under_way.get(&key)) {
+            (Some(_), _) => self.now,
+            (None, Some(request)) => request.arrives_at + 1,
             (None, None) => return,
         };
-        self.push(CLOSE_DELAY + latency, ScheduledEvent::LeafDisconnect { key });
+        let zone = self.queriers[key.engine.querier].zone.clone();
+        let latency = latency(&zone, &leaf_zone, &mut self.random) + self.net.extra_latency;
+        let at = (self.now + CLOSE_DELAY + latency).max(after_request);
+        self.push_at(at, ScheduledEvent::LeafDisconnect { key });
     }
 
     /// A leaf sees that the connection of an attempt was closed.
@@ -149,17 +154,11 @@
             let response = rejection(BAD_REQUEST);
             return self.answer(key, &zone, response);
         }
-        self.start_work(key, name, sending, request.latency);
+        self.start_work(key, name, sending);
     }
 
     /// A leaf starts to work on an attempt, unless it rejects it.
-    fn start_work(
-        &mut self,
-        key: AttemptKey,
-        name: String,
-        sending: OutgoingAttempt,
-        latency: Span,
-    ) {
+    fn start_work(&mut self, key: AttemptKey, name: String, sending: OutgoingAttempt) {
         let now = self.now;
         let Some(leaf) = self.backends.leafs.get_mut(&name) else { return };
         leaf.in_progress += 1;
@@ -185,7 +184,7 @@
         self.rules.check_question(now - BEGIN, &name, question);
         let run = self.queue.next_number();
         self.runs_by_attempt.insert(key, run);
-        self.runs.insert(run, Run { key, leaf: name, sending, latency });
+        self.runs.insert(run, Run { key, leaf: name, sending });
         self.push(took, ScheduledEvent::LeafResponse { run });
     }
 
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -88,15 +88,13 @@
     pub(super) key: AttemptKey,
     pub(super) leaf: String,
     pub(super) sending: OutgoingAttempt,
-    /// Time of one way between the sender and the leaf.
-    pub(super) latency: Span,
 }
 
 /// A request on its way to a leaf.
 #[derive(Clone, Copy)]
 pub(super) struct RequestUnderWay {
-    /// Time of one way between the sender and the leaf.
-    pub(super) latency: Span,
+    /// When it reaches the leaf.
+    pub(super) arrives_at: Tick,
     /// Its sender has closed the connection before it could be sent.
     pub(super) closed: bool,
 }
