Check the layout of messages and files before they are decoded

Cause: the decoder reserves memory for a list by a length that it has not checked, 58 GB for one altered message, and adds lengths without looking for an overflow.

Ruled out: limits of the frame, and catching the panic (a failed allocation aborts).

Change: a description of each layout, by which the bytes are walked first: items must fit into what is left and be at most 1,048,576. Errors are typed and close the connection.

--- a/crates/core/src/membership/leaf_reports.rs
+++ b/crates/core/src/membership/leaf_reports.rs
@@ -4,13 +4,13 @@
 
 use std::collections::BTreeMap;
 
-use nanoserde::DeBin;
-
 use crate::consts;
 use crate::identifiers::{PartitionId, part_of};
 use crate::membership::node_agent::{Command, NodeAgent};
 use crate::membership::pending_report::PendingLeafReport;
 use crate::protocol::message::{LeafReport, Message};
+use crate::protocol::message_shapes::LEAF_INFO;
+use crate::protocol::shape::decode;
 use crate::snapshot::leafs::{LeafInfo, key};
 use crate::time::{Span, Tick, ms, since};
 
@@ -66,7 +66,7 @@
 
     fn leaf_of(&self, partition: PartitionId, leaf: &str) -> Option<LeafInfo> {
         let entry = self.partitions.get(&partition)?.entries.get(&key(leaf))?;
-        LeafInfo::deserialize_bin(entry).ok()
+        decode(&LEAF_INFO, entry).ok()
     }
 
     /// Sends reports of leafs to the voters until the update stream shows them, and
--- a/crates/core/src/protocol/frame.rs
+++ b/crates/core/src/protocol/frame.rs
@@ -5,10 +5,12 @@
 //! different lanes may interleave, so that a heartbeat never waits behind a whole
 //! snapshot; messages of one lane keep their order.
 
-use nanoserde::{DeBin, SerBin};
+use nanoserde::SerBin;
 use thiserror::Error;
 
 use super::message::Message;
+use super::message_shapes::MESSAGE;
+use super::shape::{DecodeError, decode};
 
 /// Version of the protocol between our processes; a peer with another is rejected.
 pub const PROTOCOL_VERSION: u16 = 3;
@@ -41,8 +43,8 @@
     #[error("a message larger than {MESSAGE_LIMIT_BYTES} bytes")]
     TooLarge,
     /// The pieces fit, but what they make up can't be decoded.
-    #[error("a message that can't be read")]
-    Undecodable,
+    #[error("a message that can't be read: {0}")]
+    Undecodable(#[from] DecodeError),
 }
 
 /// One of the two lanes of a connection.
@@ -159,6 +161,6 @@
             return Ok(None);
         }
         let bytes = std::mem::take(pending);
-        Message::deserialize_bin(&bytes).map(Some).map_err(|_| FrameError::Undecodable)
+        Ok(Some(decode(&MESSAGE, &bytes)?))
     }
 }
--- a/crates/core/src/protocol/mod.rs
+++ b/crates/core/src/protocol/mod.rs
@@ -7,6 +7,8 @@
 pub mod frame;
 pub mod membership;
 pub mod message;
+pub mod message_shapes;
 pub mod operation;
 pub mod peer;
 pub mod replica;
+pub mod shape;
--- a/crates/core/src/snapshot/leafs.rs
+++ b/crates/core/src/snapshot/leafs.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use nanoserde::DeBin;
-
+use crate::protocol::message_shapes::LEAF_INFO;
+use crate::protocol::shape::decode;
 use crate::routing_language::selector::Labels;
 
 /// One leaf. `leaf` is its identity: a new start is a new identity.
@@ -47,7 +47,7 @@
 pub fn leafs_in(map: &BTreeMap<String, Vec<u8>>) -> BTreeMap<String, LeafInfo> {
     map.iter()
         .filter(|(k, _)| k.starts_with(LEAF))
-        .filter_map(|(_, v)| LeafInfo::deserialize_bin(v).ok())
+        .filter_map(|(_, v)| decode::<LeafInfo>(&LEAF_INFO, v).ok())
         .map(|l| (l.leaf.clone(), l))
         .collect()
 }
--- a/crates/core/src/storage/reader.rs
+++ b/crates/core/src/storage/reader.rs
@@ -1,8 +1,8 @@
 //! Bytes of slots and logs back to a replica's state: a torn tail is dropped, any
 //! other damage is reported and never read as truth.
 
-use nanoserde::DeBin;
-
+use crate::protocol::message_shapes::{LOG_RECORD, REPLICA_STATE};
+use crate::protocol::shape::decode;
 use crate::storage::damage::Damage;
 use crate::storage::format::{DISK_VERSION, RECORD_LIMIT};
 use crate::storage::record::{LogRecord, ReplicaState};
@@ -149,7 +149,7 @@
     if hash.finalize() != checksum {
         return Err(SlotError::Broken);
     }
-    let state = ReplicaState::deserialize_bin(body).map_err(|_| SlotError::Broken)?;
+    let state: ReplicaState = decode(&REPLICA_STATE, body).map_err(|_| SlotError::Broken)?;
     Ok(Slot { sequence: u64_at(raw, 12), state })
 }
 
@@ -210,7 +210,7 @@
     if raw[end] != RECORD_END || record_checksum(sequence, number, body) != u32_at(head, 8) {
         return Parsed::Flipped;
     }
-    match LogRecord::deserialize_bin(body) {
+    match decode::<LogRecord>(&LOG_RECORD, body) {
         Ok(record) => Parsed::Record(record, end + 1),
         Err(_) => Parsed::Flipped,
     }
--- a/crates/core/src/storage/voter_file.rs
+++ b/crates/core/src/storage/voter_file.rs
@@ -3,6 +3,8 @@
 use nanoserde::{DeBin, SerBin};
 
 use crate::identifiers::VoterSlot;
+use crate::protocol::message_shapes::VOTER_FILE;
+use crate::protocol::shape::decode;
 use crate::storage::format::{DISK_VERSION, RECORD_LIMIT};
 use crate::voter_set::{
     VoterSet, first_holder, first_table, merge, seat_of, told_holder, told_table,
@@ -47,7 +49,7 @@
         && num(8) as usize == body.len()
         && num(8) <= RECORD_LIMIT
         && num(12) == crc32fast::hash(body);
-    let roll = fits.then(|| VoterFile::deserialize_bin(body).ok()).flatten()?;
+    let roll = fits.then(|| decode::<VoterFile>(&VOTER_FILE, body).ok()).flatten()?;
     (roll.me != 0 && roll.table.slots.len() <= usize::from(crate::consts::SEATS_MAX))
         .then_some(roll)
 }
--- /dev/null
+++ b/crates/core/tests/decoding.rs
@@ -0,0 +1,159 @@
+//! What comes from a peer or a file never makes us reserve more memory than it may need,
+//! and never ends a process.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code)] // The format tests use the rest of it.
+#[path = "format_fixtures/messages.rs"]
+mod messages;
+#[allow(dead_code)] // The fixtures of files use the rest of it.
+#[path = "format_fixtures/values.rs"]
+mod values;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+
+use grebepath_core::protocol::frame::encode;
+use grebepath_core::protocol::message::Message;
+use grebepath_core::protocol::message_shapes::{
+    LEAF_INFO, LOG_RECORD, MESSAGE, REPLICA_STATE, VOTER_FILE,
+};
+use grebepath_core::protocol::shape::{Shape, check, decode};
+use grebepath_core::random::Random;
+use grebepath_core::snapshot::leafs::LeafInfo;
+use grebepath_core::storage::record::{LogRecord, ReplicaState};
+use grebepath_core::storage::voter_file::VoterFile;
+use nanoserde::{DeBin, SerBin};
+
+/// Memory that a decoded value may take for each byte of its encoding: the smallest items
+/// of a list take some ten times their encoding.
+const MEMORY_PER_BYTE: usize = 32;
+/// What a small value may take in any case.
+const MEMORY_LEAST: usize = 4_096;
+
+thread_local! {
+    /// The largest piece of memory that this thread asked for since it was last set.
+    static LARGEST: Cell<usize> = const { Cell::new(0) };
+}
+
+/// The system's allocator, which notes the largest request of each thread.
+struct Watching;
+
+fn note(size: usize) {
+    let _ = LARGEST.try_with(|largest| largest.set(largest.get().max(size)));
+}
+
+// SAFETY: every call is handed to the system's allocator as it came.
+unsafe impl GlobalAlloc for Watching {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        note(layout.size());
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, memory: *mut u8, layout: Layout) {
+        unsafe { System.dealloc(memory, layout) }
+    }
+
+    unsafe fn realloc(&self, memory: *mut u8, layout: Layout, size: usize) -> *mut u8 {
+        note(size);
+        unsafe { System.realloc(memory, layout, size) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Watching = Watching;
+
+/// Decodes bytes and checks what that asked for.
+fn decode_within_bounds<T: DeBin>(shape: &Shape, bytes: &[u8]) -> Option<T> {
+    LARGEST.set(0);
+    let decoded = decode::<T>(shape, bytes);
+    let (largest, most) = (LARGEST.get(), MEMORY_LEAST + bytes.len() * MEMORY_PER_BYTE);
+    assert!(largest <= most, "{largest} bytes at once for {} bytes: {bytes:?}", bytes.len());
+    decoded.ok()
+}
+
+/// Lengths that no list or text of a message has, and that add up to small ones.
+const WRONG_LENGTHS: [u64; 8] =
+    [u64::MAX, u64::MAX - 7, 1 << 63, 1 << 40, 580_000_000, 1 << 24, 65_536, 300];
+
+/// Decodes `bytes` with each place in turn overwritten, and with bytes drawn at random.
+fn decode_altered<T: DeBin>(shape: &Shape, bytes: &[u8], random: &mut Random) {
+    for at in 0..bytes.len() {
+        let mut altered = bytes.to_vec();
+        for length in WRONG_LENGTHS {
+            let end = bytes.len().min(at + 8);
+            altered[at..end].copy_from_slice(&length.to_le_bytes()[..end - at]);
+            decode_within_bounds::<T>(shape, &altered);
+        }
+        decode_within_bounds::<T>(shape, &bytes[..at]);
+    }
+    for _ in 0..200 {
+        let mut altered = bytes.to_vec();
+        for _ in 0..1 + random.below(4) {
+            let at = random.below(altered.len() as u64) as usize;
+            altered[at] = random.next_u64() as u8;
+        }
+        decode_within_bounds::<T>(shape, &altered);
+    }
+}
+
+/// A value that is stored or sent keeps its shape, and survives alterations.
+fn assert_safe<T: SerBin + DeBin + PartialEq + std::fmt::Debug>(
+    shape: &Shape,
+    value: &T,
+    random: &mut Random,
+) {
+    let bytes = value.serialize_bin();
+    assert_eq!(check(shape, &bytes), Ok(bytes.len()), "{value:?}");
+    assert_eq!(decode_within_bounds::<T>(shape, &bytes).as_ref(), Some(value));
+    decode_altered::<T>(shape, &bytes, random);
+}
+
+#[test]
+fn every_message_has_its_shape_and_no_altered_one_reserves_more_than_its_bytes_may_need() {
+    let mut random = Random::new(7);
+    for message in messages::all() {
+        assert_safe(&MESSAGE, &message, &mut random);
+    }
+}
+
+#[test]
+fn what_is_stored_has_its_shape_and_is_read_within_bounds() {
+    let mut random = Random::new(8);
+    for message in messages::all() {
+        match message {
+            Message::Snapshot { entries, .. } => {
+                let state = ReplicaState { entries, revision: 3, ..ReplicaState::default() };
+                assert_safe(&REPLICA_STATE, &state, &mut random);
+            }
+            Message::Append { term, revision, entries, .. } => {
+                let record = LogRecord::Change { term, revision, entries };
+                assert_safe(&LOG_RECORD, &record, &mut random);
+                assert_safe(&LOG_RECORD, &LogRecord::Vote { term }, &mut random);
+            }
+            Message::VoterSetUpdate { voter_set, .. } => {
+                let file = VoterFile { me: 9, first: true, table: voter_set };
+                assert_safe(&VOTER_FILE, &file, &mut random);
+            }
+            Message::LeafList { leafs, .. } => {
+                for leaf in &leafs {
+                    assert_safe::<LeafInfo>(&LEAF_INFO, leaf, &mut random);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn the_message_that_once_asked_for_58_gigabytes_is_refused() {
+    let message = Message::LeafList {
+        partition: grebepath_core::identifiers::PartitionId(1),
+        fence: Default::default(),
+        leafs: Vec::new(),
+    };
+    let mut bytes = encode(&message);
+    let at = bytes.len() - 8;
+    bytes[at..].copy_from_slice(&400_000_000u64.to_le_bytes());
+    assert!(decode_within_bounds::<Message>(&MESSAGE, &bytes).is_none());
+}
