--- a/crates/simulator/tests/chaos.rs
+++ b/crates/simulator/tests/chaos.rs
@@ -6,7 +6,7 @@
 
 use grebepath_simulator::chaos::at;
 use grebepath_simulator::report;
-use grebepath_simulator::scenario::{Scenario, play};
+use grebepath_simulator::scenario::{Scenario, play, read};
 use grebepath_simulator::world::{FaultyVariant, World};
 use serde_json::json;
 
@@ -56,6 +56,27 @@
     ))
 }
 
+/// Seeds of `soak-tight.json` that once broke a rule (docs/incidents, the log of commits).
+const ONCE_BROKEN: [u64; 8] = [5_020, 5_105, 26_600, 31_003, 31_011, 31_033, 41_275, 42_351];
+
+#[test]
+fn seeds_that_once_broke_a_rule_break_none() {
+    let play_one = |seed: u64| {
+        let path = format!("{}/../../scenarios/soak-tight.json", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read(path).unwrap();
+        let mut scenario = read(&text, &common::load)
+            .unwrap_or_else(|all| panic!("{}", grebepath_core::diagnostic::lines(&all)));
+        scenario.faults.extend(grebepath_simulator::chaos::chaos(seed, &scenario));
+        let world = play(&scenario, seed, None);
+        let first = world.rules.violations.first().map(|found| format!("seed {seed}: {found:?}"));
+        first.into_iter().collect::<Vec<String>>()
+    };
+    let threads: Vec<_> =
+        ONCE_BROKEN.into_iter().map(|seed| std::thread::spawn(move || play_one(seed))).collect();
+    let bad: Vec<String> = threads.into_iter().flat_map(|t| t.join().unwrap()).collect();
+    assert!(bad.is_empty(), "{}", bad.join("\n"));
+}
+
 #[test]
 fn a_failing_seed_is_shrunk_to_what_fails() {
     let mut s = scene(1);
