--- a/crates/simulator/src/explore.rs
+++ b/crates/simulator/src/explore.rs
@@ -148,7 +148,7 @@
     let whole = world.until(12 * SECOND, |world| world.settled() && world.all_slots_voting());
     let mut wrong: Vec<String> =
         world.rules.violations.iter().map(|found| format!("{found:?}")).collect();
-    wrong.extend(world.forgotten_memberships.iter().take(1).cloned());
+    wrong.extend(world.forgotten_memberships().iter().take(1).cloned());
     if !whole {
         wrong.push("not all voter slots are held by replicas that vote".into());
         return wrong;
