--- a/crates/server/tests/disk_faults.rs
+++ b/crates/server/tests/disk_faults.rs
@@ -74,7 +74,7 @@
         expect_that!(line, contains_substring("can't write"));
         expect_that!(line, contains_substring("seats.new"));
         let door = f.doors[seat];
-        for path in ["readyz", "v1/status", "api/config"] {
+        for path in ["readyz", "v1/status", "v1/config"] {
             let request = hyper::Request::get(format!("http://{door}/{path}"))
                 .body(http_body_util::Full::default())
                 .unwrap();
