--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/case1 review/standin/case1.rs
+for case in case1 case2; do
+    rustc --edition 2024 -O -A dead_code -o "target/review/$case" "review/standin/$case.rs"
+done
--- a/review/standin/case1.rs
+++ b/review/standin/case1.rs
@@ -30,7 +30,8 @@
     }
     let mut site = Site::start(world.clone(), 3, CONFIGURATION, "case1");
     let stop = Arc::new(AtomicBool::new(false));
-    site.traffic("file10.example", "/a/x", 20, &stop);
+    let open = site.entry(&stop);
+    site.traffic("file10.example", "/a/x", 20, &open, &stop);
     pause(3_000);
 
     // The zone is emptied, and all is calm.
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -99,7 +99,8 @@
                 .map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_string()))
                 .collect();
             let message = Message { first, heads, body: Vec::new() };
-            let len: usize = message.head("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+            let len: usize =
+                message.head("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
             if raw.len() >= at + 4 + len {
                 let body = raw[at + 4..at + 4 + len].to_vec();
                 raw.drain(..at + 4 + len);
@@ -131,7 +132,8 @@
     patience: Duration,
 ) -> Result<Message, String> {
     let at = address.parse().map_err(|e| format!("{e}"))?;
-    let mut stream = TcpStream::connect_timeout(&at, patience).map_err(|e| format!("no connection: {e}"))?;
+    let mut stream =
+        TcpStream::connect_timeout(&at, patience).map_err(|e| format!("no connection: {e}"))?;
     let _ = stream.set_nodelay(true);
     let mut out = format!("{request} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
     if !heads.iter().any(|h| h.0.eq_ignore_ascii_case("host")) {
@@ -149,7 +151,10 @@
     match got {
         Ok(Some(message)) => Ok(message),
         Ok(None) => Err("closed without an answer".into()),
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) || Instant::now() >= until => {
+        Err(e)
+            if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+                || Instant::now() >= until =>
+        {
             Err("silence".into())
         }
         Err(e) => Err(format!("broken: {e}")),
@@ -181,8 +186,10 @@
     pub record: Record,
     pub leafs: Mutex<Vec<Leaf>>,
     pub runs: Mutex<Vec<Run>>,
-    /// Time that a leaf works on a request, in milliseconds.
-    pub work_ms: AtomicU64,
+    /// Time that the leafs of a service work on a request, in milliseconds; 5 if not said.
+    pub work_ms: Mutex<BTreeMap<String, u64>>,
+    /// When the list was read, and by which machine.
+    pub reads: Mutex<Vec<(u64, usize)>>,
 }
 
 impl World {
@@ -191,7 +198,8 @@
             record: record.clone(),
             leafs: Mutex::default(),
             runs: Mutex::default(),
-            work_ms: AtomicU64::new(5),
+            work_ms: Mutex::default(),
+            reads: Mutex::default(),
         })
     }
 
@@ -238,7 +246,8 @@
             };
             self.record.note(&format!("leaf {leaf} ({service}, {zone}) runs {id}"));
             self.runs.lock().unwrap().push(run);
-            pause(self.work_ms.load(Ordering::Relaxed));
+            let work_ms = self.work_ms.lock().unwrap().get(service).copied().unwrap_or(5);
+            pause(work_ms);
             let stamp = format!("{leaf}.{id}");
             let heads = [
                 ("Request-Id", id.as_str()),
@@ -253,9 +262,11 @@
         }
     }
 
-    /// Serves the platform's list; gives its address.
-    pub fn list(self: &Arc<World>, ip: &str) -> String {
-        let listener = TcpListener::bind((ip, 0)).unwrap_or_else(|e| fail(&format!("the list: {e}")));
+    /// Serves the platform's list to one machine; gives its address. It is the same list for
+    /// all, at an address for each, so that the record can tell who read it.
+    pub fn list(self: &Arc<World>, ip: &str, reader: usize) -> String {
+        let listener =
+            TcpListener::bind((ip, 0)).unwrap_or_else(|e| fail(&format!("the list: {e}")));
         let address = listener.local_addr().unwrap().to_string();
         let world = self.clone();
         thread::spawn(move || {
@@ -264,8 +275,12 @@
                 thread::spawn(move || {
                     let mut raw = Vec::new();
                     while let Ok(Some(_)) = read_message(&mut stream, &mut raw) {
-                        let leafs: Vec<String> = world.leafs.lock().unwrap().iter().map(entry).collect();
-                        let body = format!("{{\"leaves\":[{}],\"next_page\":null}}", leafs.join(","));
+                        world.reads.lock().unwrap().push((world.record.now(), reader));
+                        world.record.note(&format!("the list is read by machine {reader}"));
+                        let leafs: Vec<String> =
+                            world.leafs.lock().unwrap().iter().map(entry).collect();
+                        let body =
+                            format!("{{\"leaves\":[{}],\"next_page\":null}}", leafs.join(","));
                         let heads = [("Content-Type", "application/json")];
                         if stream.write_all(&response(200, &heads, body.as_bytes())).is_err() {
                             return;
@@ -368,10 +383,13 @@
 fn free_ports(ips: &[String], count: usize) -> Vec<u16> {
     let mut ports = Vec::new();
     while ports.len() < count {
-        let first = TcpListener::bind((ips[0].as_str(), 0)).unwrap_or_else(|e| fail(&format!("ports: {e}")));
+        let first = TcpListener::bind((ips[0].as_str(), 0))
+            .unwrap_or_else(|e| fail(&format!("ports: {e}")));
         let port = first.local_addr().unwrap().port();
         drop(first);
-        if !ports.contains(&port) && ips.iter().all(|ip| TcpListener::bind((ip.as_str(), port)).is_ok()) {
+        if !ports.contains(&port)
+            && ips.iter().all(|ip| TcpListener::bind((ip.as_str(), port)).is_ok())
+        {
             ports.push(port);
         }
     }
@@ -381,17 +399,12 @@
 impl Site {
     /// Starts three controllers and `fronts` queriers, spread over three zones, and
     /// waits until all are ready. `configuration` is sent first, as edition 1.
-    pub fn start(
-        world: Arc<World>,
-        fronts: usize,
-        configuration: &str,
-        tag: &str,
-    ) -> Site {
+    pub fn start(world: Arc<World>, fronts: usize, configuration: &str, tag: &str) -> Site {
         let record = world.record.clone();
-        let folder = std::env::temp_dir().join(format!("grebe-review-{tag}-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("grebe-review-{tag}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap_or_else(|e| fail(&format!("a folder: {e}")));
-        let list = world.list("127.0.0.1");
         let count = 3 + fronts;
         let ips: Vec<String> = (0..count).map(|i| format!("127.0.0.{}", i + 11)).collect();
         let ports = free_ports(&ips, 4);
@@ -408,9 +421,11 @@
             if is_core {
                 std::fs::create_dir_all(&data).unwrap_or_else(|e| fail(&format!("a folder: {e}")));
             }
-            let template = if is_core { "platform/controller.json" } else { "platform/querier.json" };
-            let text = std::fs::read_to_string(template)
-                .unwrap_or_else(|e| fail(&format!("{template}: {e}; run it at the repository's root")));
+            let template =
+                if is_core { "platform/controller.json" } else { "platform/querier.json" };
+            let text = std::fs::read_to_string(template).unwrap_or_else(|e| {
+                fail(&format!("{template}: {e}; run it at the repository's root"))
+            });
             let fields = BTreeMap::from([
                 ("node|json", format!("\"{name}\"")),
                 ("zone|json", format!("\"{zone}\"")),
@@ -420,7 +435,7 @@
                 ("counters.control|json", format!("\"{}\"", at(i, 1))),
                 ("inner_ports.0", ports[0].to_string()),
                 ("seeds|json", format!("[{seeds}]")),
-                ("provider.address|json", format!("\"{list}\"")),
+                ("provider.address|json", format!("\"{}\"", world.list("127.0.0.1", i))),
                 ("provider.rate_per_s", "49.0".to_string()),
                 ("bounds.retry_ratio", "0.2".to_string()),
                 ("bounds.retry_slack", "52".to_string()),
@@ -430,8 +445,10 @@
                 ("data_dir|json", format!("\"{}\"", data.display())),
             ]);
             let params = folder.join(format!("{name}.json"));
-            std::fs::write(&params, filled(&text, &fields)).unwrap_or_else(|e| fail(&format!("{e}")));
-            let program = if is_core { "target/release/controller" } else { "target/release/querier" };
+            std::fs::write(&params, filled(&text, &fields))
+                .unwrap_or_else(|e| fail(&format!("{e}")));
+            let program =
+                if is_core { "target/release/controller" } else { "target/release/querier" };
             machines.push(Machine {
                 name: name.clone(),
                 zone: zone.into(),
@@ -484,7 +501,8 @@
         let until = Instant::now() + Duration::from_secs(25);
         for turn in 0.. {
             let to = &self.controllers[turn % 3];
-            let got = call(&to.front, "PUT /api/config", &heads, body.as_bytes(), Duration::from_secs(3));
+            let got =
+                call(&to.front, "PUT /api/config", &heads, body.as_bytes(), Duration::from_secs(3));
             self.record.note(&format!("PUT /api/config to {}: {}", to.name, told(&got)));
             match got {
                 Ok(answer) if answer.status() == 200 => return,
@@ -515,28 +533,122 @@
             let to = turns[turn.min(turns.len() - 1)];
             match self.order(to, request) {
                 Ok(answer) if (200..300).contains(&answer.status()) => return self.record.now(),
-                _ if Instant::now() > until => self.stop_and_fail(&format!("{request}: never acknowledged")),
+                _ if Instant::now() > until => {
+                    self.stop_and_fail(&format!("{request}: never acknowledged"))
+                }
                 _ => pause(100),
             }
         }
         unreachable!()
     }
 
-    /// Clients that ask each querier `per_s` times a second until `stop`.
-    pub fn traffic(&self, host: &'static str, path: &'static str, per_s: u64, stop: &Arc<AtomicBool>) {
+    /// Asks each querier once a second whether it is ready, as the platform does; one that
+    /// misses twice gets no new connections until it answers 200 again.
+    pub fn entry(&self, stop: &Arc<AtomicBool>) -> Vec<Arc<AtomicBool>> {
+        let mut open = Vec::new();
         for querier in &self.queriers {
-            let (front, name) = (querier.front.clone(), querier.name.clone());
+            let is_open = Arc::new(AtomicBool::new(true));
+            open.push(is_open.clone());
+            let (ready, name) = (querier.ready.clone(), querier.name.clone());
+            let (record, stop) = (self.record.clone(), stop.clone());
+            thread::spawn(move || {
+                let mut misses = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    let got = call(&ready, "GET /api/ready", &[], b"", Duration::from_millis(900));
+                    misses = if got.is_ok_and(|a| a.status() == 200) { 0 } else { misses + 1 };
+                    if (misses < 2) != is_open.swap(misses < 2, Ordering::Relaxed) {
+                        record.say(&format!(
+                            "platform: {name} is {}",
+                            if misses < 2 { "in" } else { "out" }
+                        ));
+                    }
+                    pause(1_000);
+                }
+            });
+        }
+        open
+    }
+
+    /// Clients that keep a connection to each querier and ask on it every `period_ms` until
+    /// `stop`, `clients` of them to each, spread over the period. They heed
+    /// `Connection: close`, and open a new connection only to a querier that is open.
+    pub fn kept_traffic(
+        &self,
+        host: &'static str,
+        path: &'static str,
+        (clients, period_ms): (u64, u64),
+        open: &[Arc<AtomicBool>],
+        stop: &Arc<AtomicBool>,
+    ) {
+        for (querier, open) in self.queriers.iter().zip(open) {
+            for client in 0..clients {
+                let (front, name, open) =
+                    (querier.front.clone(), querier.name.clone(), open.clone());
+                let (record, stop, next) =
+                    (self.record.clone(), stop.clone(), self.next_id.clone());
+                thread::spawn(move || {
+                    pause(client * period_ms / clients);
+                    let mut kept: Option<TcpStream> = None;
+                    while !stop.load(Ordering::Relaxed) {
+                        let began = record.now();
+                        if kept.is_none() && open.load(Ordering::Relaxed) {
+                            kept = TcpStream::connect(&front).ok();
+                        }
+                        if let Some(mut stream) = kept.take() {
+                            let id = format!("k{:06}", next.fetch_add(1, Ordering::Relaxed));
+                            record.note(&format!("client -> {name}: {id} on a kept connection"));
+                            let text = format!(
+                                "GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\n\
+                                 Deadline-Ms: 5000\r\n\r\n"
+                            );
+                            let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+                            let sent = stream.write_all(text.as_bytes());
+                            let got = sent.and_then(|_| read_message(&mut stream, &mut Vec::new()));
+                            let got = match got {
+                                Ok(Some(answer)) => Ok(answer),
+                                Ok(None) => Err("closed without an answer".to_string()),
+                                Err(e) => Err(format!("broken: {e}")),
+                            };
+                            record.note(&format!("client <- {name}: {id}: {}", told(&got)));
+                            let stays = |answer: &Message| {
+                                answer.head("connection").is_none_or(|v| !v.contains("close"))
+                            };
+                            kept = got.is_ok_and(|answer| stays(&answer)).then_some(stream);
+                        }
+                        pause((began + period_ms).saturating_sub(record.now()).max(20));
+                    }
+                });
+            }
+        }
+    }
+
+    /// Clients that ask each querier that is open `per_s` times a second until `stop`, each
+    /// time on a new connection.
+    pub fn traffic(
+        &self,
+        host: &'static str,
+        path: &'static str,
+        per_s: u64,
+        open: &[Arc<AtomicBool>],
+        stop: &Arc<AtomicBool>,
+    ) {
+        for (querier, open) in self.queriers.iter().zip(open) {
+            let (front, name, open) = (querier.front.clone(), querier.name.clone(), open.clone());
             let (record, stop, next) = (self.record.clone(), stop.clone(), self.next_id.clone());
             thread::spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
+                    if !open.load(Ordering::Relaxed) {
+                        pause(50);
+                        continue;
+                    }
                     let id = format!("r{:06}", next.fetch_add(1, Ordering::Relaxed));
                     let (record, front, name) = (record.clone(), front.clone(), name.clone());
                     thread::spawn(move || {
                         let heads =
-                            [("Host", host), ("Request-Id", id.as_str()), ("Deadline-Ms", "1000")];
+                            [("Host", host), ("Request-Id", id.as_str()), ("Deadline-Ms", "5000")];
                         record.note(&format!("client -> {name}: {id}"));
                         let request = format!("GET {path}");
-                        let got = call(&front, &request, &heads, b"", Duration::from_secs(2));
+                        let got = call(&front, &request, &heads, b"", Duration::from_secs(5));
                         record.note(&format!("client <- {name}: {id}: {}", told(&got)));
                     });
                     pause(1000 / per_s);
@@ -553,7 +665,9 @@
 
 pub fn told(got: &Result<Message, String>) -> String {
     match got {
-        Ok(answer) => format!("{} {}", answer.status(), String::from_utf8_lossy(&answer.body).trim()),
+        Ok(answer) => {
+            format!("{} {}", answer.status(), String::from_utf8_lossy(&answer.body).trim())
+        }
         Err(why) => why.clone(),
     }
 }
