--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -10,6 +10,7 @@
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,9 +20,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
+/// The option of `prctl` by which a process is sent a signal when its parent ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -321,13 +325,17 @@
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.unwrap_or_else(|e| fail(&format!("a log: {e}")));
         let copy = log.try_clone().unwrap_or_else(|e| fail(&format!("a log: {e}")));
-        let child = Command::new(&self.program)
-            .arg("--params")
-            .arg(&self.params)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(copy)
-            .spawn();
+        let mut command = Command::new(&self.program);
+        command.arg("--params").arg(&self.params);
+        command.stdin(Stdio::null()).stdout(log).stderr(copy);
+        // SAFETY: `prctl` is one system call and may be made between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command.spawn();
         self.child = Some(child.unwrap_or_else(|e| fail(&format!("{}: {e}", self.program))));
     }
 
