Keep working on assignments while stopping, until the lease is given back

Cause: the holder of the list's assignment and the next in line read the list. A member that was asked to stop ceased to read at once, yet kept its rank until its last call had ended and it gave its lease back. With both stopping nobody read. Health checks had the same gap.

Ruled out: a late commit or feed (there was no read), a late return of the lease.

Change: poll_leaf_list and probe_leafs go on until the lease is given back, as nobody else has the assignments before that.

--- a/crates/core/src/membership/assignments.rs
+++ b/crates/core/src/membership/assignments.rs
@@ -46,10 +46,17 @@
         }
     }
 
+    /// Whether we work on our assignments. A member that stops does until it gives its
+    /// lease back: only then do others know that they have its assignments, and every
+    /// member may be stopping at once.
+    fn works_on_assignments(&self) -> bool {
+        !self.is_drained
+    }
+
     /// Polls the list if it is due and the assignment is ours under a good lease.
     pub(super) fn poll_leaf_list(&mut self, now: Tick, commands: &mut Vec<Command>) {
         let trusted = self.lease.granted && since(self.lease.renewed_at, now) < LEASE_TRUST;
-        if !trusted || self.stopping_since.is_some() {
+        if !trusted || !self.works_on_assignments() {
             return;
         }
         let Some(period) = self.list_poll_period(now) else { return };
@@ -110,7 +117,7 @@
     /// Health-checks the leafs whose keys are assigned to us, if it is due.
     pub(super) fn probe_leafs(&mut self, now: Tick, commands: &mut Vec<Command>) {
         let Some(view) = &self.view else { return };
-        if now < self.probe_at || self.stopping_since.is_some() {
+        if now < self.probe_at || !self.works_on_assignments() {
             return;
         }
         self.probe_at = now + PROBE_INTERVAL;
