Pass over a slot of another version once a whole slot and its log replaced it

Cause: a scrub has the state written to the other slot; the corrupted one stands until the next

Ruled out: corruption that no scrub had found (its alarms stand before the loss of power).

Change: a slot of another version makes the files damaged only if no whole slot is followed by the log. A slot whose log was never begun holds nothing that was acknowledged, whoever wrote it.

A newest slot of another version is reported as before.

--- a/crates/core/src/storage/reader.rs
+++ b/crates/core/src/storage/reader.rs
@@ -42,6 +42,17 @@
     state: ReplicaState,
 }
 
+/// What the two slots hold.
+#[derive(Default)]
+struct Slots {
+    /// The newest slot that is whole.
+    newest: Option<Slot>,
+    /// Whether another one was never finished, or is not what was written.
+    has_broken: bool,
+    /// The version of one that another build wrote, or whose version was corrupted.
+    other_version: Option<u16>,
+}
+
 /// Why a slot is not used.
 enum SlotError {
     /// It was written by a build with another format.
@@ -75,7 +86,8 @@
 /// How writing goes on decides what is damage. The log of slot `n` is begun
 /// only after slot `n` is synced, and slot `n + 1` is written over slot
 /// `n - 1` while log `n` still stands. So at any time one good slot has the
-/// number of the log, and a broken other slot is a write that never ended.
+/// number of the log, and a broken other slot is a write that never ended, or one that was
+/// corrupted after its successor was written: it is not needed.
 fn read_files(
     partition: u32,
     slots: [Option<&[u8]>; 2],
@@ -84,8 +96,14 @@
     if slots[0].is_none() && slots[1].is_none() && log.is_none() {
         return Ok(StoredReplica::Empty);
     }
-    let (newest, has_broken_slot) = newest_slot(partition, slots)?;
+    let Slots { newest, has_broken, other_version } = read_slots(partition, slots);
     let log_sequence = log_sequence(partition, log)?;
+    let is_followed = |slot: &Slot| log_sequence == Some(slot.sequence);
+    if let Some(found) = other_version
+        && !newest.as_ref().is_some_and(is_followed)
+    {
+        return Err(Damage::SlotVersion { found });
+    }
     let Some(Slot { sequence, state }) = newest else {
         // Not even the first slot was finished: nothing was ever promised.
         return match log_sequence {
@@ -96,7 +114,7 @@
     match log_sequence {
         Some(log) if log > sequence => Err(Damage::SlotMissing { log, slot: sequence }),
         // A slot write replaces the log by renaming; it is never absent.
-        None if has_broken_slot || sequence > 1 => Err(Damage::LogMissing),
+        None if has_broken || sequence > 1 => Err(Damage::LogMissing),
         Some(same) if same == sequence => with_log(sequence, state, log.unwrap_or_default()),
         // The slot is newer than the log: the log's records are within it. Or it is the
         // first, and its log was never begun.
@@ -113,21 +131,20 @@
     Ok(StoredReplica::Intact { state, sequence, records: count, log_bytes, is_torn })
 }
 
-/// The newest slot that is whole, and whether another is not.
-fn newest_slot(partition: u32, slots: [Option<&[u8]>; 2]) -> Result<(Option<Slot>, bool), Damage> {
-    let mut newest: Option<Slot> = None;
-    let mut has_broken_slot = false;
+/// Reads both slots.
+fn read_slots(partition: u32, slots: [Option<&[u8]>; 2]) -> Slots {
+    let mut found = Slots::default();
     for raw in slots.into_iter().flatten() {
         match read_slot(partition, raw) {
-            Ok(slot) if newest.as_ref().is_none_or(|n| n.sequence < slot.sequence) => {
-                newest = Some(slot);
+            Ok(slot) if found.newest.as_ref().is_none_or(|n| n.sequence < slot.sequence) => {
+                found.newest = Some(slot);
             }
             Ok(_) => {}
-            Err(SlotError::Version(found)) => return Err(Damage::SlotVersion { found }),
-            Err(SlotError::Broken) => has_broken_slot = true,
+            Err(SlotError::Version(version)) => found.other_version = Some(version),
+            Err(SlotError::Broken) => found.has_broken = true,
         }
     }
-    Ok((newest, has_broken_slot))
+    found
 }
 
 fn read_slot(partition: u32, raw: &[u8]) -> Result<Slot, SlotError> {
--- a/crates/core/tests/disk.rs
+++ b/crates/core/tests/disk.rs
@@ -138,3 +138,19 @@
     }
     expect_that!(read(PART, [None, None], None), eq(&StoredReplica::Empty));
 }
+
+#[googletest::test]
+fn no_flipped_bit_of_a_replaced_slot_costs_the_replica() {
+    // Guards against a slot whose version was corrupted: a scrub has the state written to the
+    // other slot, and the next start refused both.
+    let (slots, log, at) = files();
+    let truth = &at.last().expect("the log has records").1;
+    for bit in 0..slots[1].len() * 8 {
+        let mut older = slots[1].clone();
+        older[bit / 8] ^= 1 << (bit % 8);
+        let StoredReplica::Intact { state, .. } = found(&[slots[0].clone(), older], &log) else {
+            panic!("bit {bit} of the older slot makes the files damaged");
+        };
+        assert_eq!(&state, truth, "bit {bit} of the older slot");
+    }
+}
