Take up the seeds of changed settings in a running controller and querier

Seen: the explorer's play of two voters that stop in order while a third one loses its disk ends, with seeds 5 and 14 on, with an order rejected by "the configuration has no leader now". All other machines take orders.

Cause: that machine comes back blank and knows its seeds alone, which are itself and the two that have left. The platform writes other seeds into its settings, but a controller never read them again, and a querier took up its retry budget only. It waited until it was restarted.

Ruled out: an election without end (a leader served for 10 s before), state lost in the handover.

Change: Connections::set_seeds, called when the settings change. The explorer's platform writes the seeds of now before the last order, which any running machine must take, as before.

Tests, both failed before: slot_takeover.rs, a_controller_whose_seeds_are_gone_takes_up_those_of_its_ changed_settings (real processes, 30 s without an answer); explore.rs, a_machine_that_comes_back_ blank_finds_the_others_when_its_seeds_have_left.

--- a/crates/runtime/src/connections.rs
+++ b/crates/runtime/src/connections.rs
@@ -55,16 +55,24 @@
         events: UnboundedSender<ConnectionEvent<T>>,
     ) -> Connections<T> {
         let now = Instant::now();
-        Connections {
+        let mut connections = Connections {
             own,
-            seeds: seeds.iter().copied().filter(|seed| Some(*seed) != own).collect(),
+            seeds: Vec::new(),
             greeting,
             tag,
             events,
             by_address: HashMap::new(),
             began: now,
             last_message: now,
-        }
+        };
+        connections.set_seeds(seeds);
+        connections
+    }
+
+    /// Takes up other seeds: those that we began with may all be gone by now. They are dialled
+    /// at the next [`Connections::arrange`] that needs any.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.iter().copied().filter(|seed| Some(*seed) != self.own).collect();
     }
 
     /// Opens the connections that the voter set asks for and drops the others.
--- a/crates/server/src/controller/controller_io.rs
+++ b/crates/server/src/controller/controller_io.rs
@@ -75,6 +75,19 @@
         }
     }
 
+    /// Takes up what of the settings may change under a running controller: its seeds. Wrong
+    /// ones change nothing.
+    pub fn reload_settings(&mut self) {
+        match Settings::read_again() {
+            Ok(settings) => self.controllers.set_seeds(&settings.seeds),
+            Err(diagnostics) => {
+                for diagnostic in diagnostics {
+                    warn!("changed params are not taken up: {diagnostic}");
+                }
+            }
+        }
+    }
+
     /// An id for an operator's request; its result goes to `reply`.
     pub fn await_result(&mut self, reply: oneshot::Sender<OperationResult>) -> u64 {
         let operation = self.next_operation;
--- a/crates/server/src/controller/controller_thread.rs
+++ b/crates/server/src/controller/controller_thread.rs
@@ -87,9 +87,7 @@
         inputs: &mut UnboundedReceiver<ControllerInput>,
         connection_events: &mut ConnectionEvents,
     ) {
-        // Nothing of a controller's settings can change while it runs; but a SIGHUP
-        // must not end it.
-        let mut settings_watch = SettingsWatch::new(None);
+        let mut settings_watch = SettingsWatch::new(self.settings.file.as_deref());
         let mut wake = tokio::time::interval(duration(WAKE));
         wake.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let stop = grebepath_runtime::stop::requested();
@@ -98,7 +96,10 @@
             let event = tokio::select! {
                 biased;
                 _ = &mut stop, if !self.state.is_leaving() => Some(Event::Stop),
-                _ = settings_watch.changed() => None,
+                _ = settings_watch.changed() => {
+                    self.io.reload_settings();
+                    None
+                }
                 _ = wake.tick() => {
                     self.io.note_wake(&self.state);
                     Some(Event::Wake)
--- a/crates/server/src/controller/settings.rs
+++ b/crates/server/src/controller/settings.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use grebepath_core::consts::{SEATS, SEATS_MAX};
+use grebepath_core::diagnostic::Diagnostic;
 use grebepath_core::storage::voter_file::Start;
 use grebepath_runtime::platform_api::PlatformApi;
 use grebepath_runtime::settings::command_line::{
@@ -85,18 +86,34 @@
     pub fleet: u64,
     /// How operators speak beside our own interface.
     pub platform_api: Option<&'static PlatformApi>,
+    /// The file that these came from.
+    pub file: Option<String>,
 }
 
 impl Settings {
     /// Reads and checks the settings; ends the process with 2 if anything is wrong.
     pub fn read_or_exit() -> Settings {
-        let mut reader = CommandLine::read_or_exit(DESCRIPTION, &FLAGS).into_reader();
-        let settings = Settings::read(&mut reader);
-        settings.check(&mut reader);
-        exit_if_any("controller", &reader.finish());
+        let line = CommandLine::read_or_exit(DESCRIPTION, &FLAGS);
+        let (settings, diagnostics) = Settings::read_checked(line);
+        exit_if_any("controller", &diagnostics);
         settings
     }
 
+    /// Reads and checks once more under a running process.
+    pub fn read_again() -> Result<Settings, Vec<Diagnostic>> {
+        let line = CommandLine::read_again(DESCRIPTION, &FLAGS).ok_or_else(Vec::new)?;
+        let (settings, diagnostics) = Settings::read_checked(line);
+        if diagnostics.is_empty() { Ok(settings) } else { Err(diagnostics) }
+    }
+
+    fn read_checked(line: CommandLine) -> (Settings, Vec<Diagnostic>) {
+        let file = line.file.clone();
+        let mut reader = line.into_reader();
+        let settings = Settings { file, ..Settings::read(&mut reader) };
+        settings.check(&mut reader);
+        (settings, reader.finish())
+    }
+
     /// Reads all settings. The order is that of the diagnostics.
     fn read(reader: &mut SettingsReader) -> Settings {
         let slots_max = u64::from(SEATS_MAX);
@@ -117,6 +134,7 @@
             slots: reader.number("seats", 1, slots_max, Some(2 * losses + 1)) as usize,
             platform_api,
             data: PathBuf::from(reader.text("data", None)),
+            file: None,
         }
     }
 
--- a/crates/server/src/querier/membership_io.rs
+++ b/crates/server/src/querier/membership_io.rs
@@ -123,9 +123,12 @@
 
     /// Takes up what of the settings may change under a running process. Wrong ones
     /// change nothing.
-    pub fn reload_settings(&self) {
+    pub fn reload_settings(&mut self) {
         match Settings::read_again() {
-            Ok(settings) => self.tell_engines(|| event::Event::RetryRate(settings.retry_rate)),
+            Ok(settings) => {
+                self.controllers.set_seeds(&settings.seeds);
+                self.tell_engines(|| event::Event::RetryRate(settings.retry_rate));
+            }
             Err(diagnostics) => {
                 for diagnostic in diagnostics {
                     warn!(me = self.name, "changed params are not taken up: {diagnostic}");
--- a/crates/server/src/testbed/local_cluster/process.rs
+++ b/crates/server/src/testbed/local_cluster/process.rs
@@ -147,7 +147,7 @@
     }
 
     /// The argument of a flag.
-    pub(super) fn argument(&self, flag: &'static str) -> Result<String, LocalClusterError> {
+    pub fn argument(&self, flag: &'static str) -> Result<String, LocalClusterError> {
         let at = self.args.iter().position(|arg| arg == flag);
         let argument = at.and_then(|at| self.args.get(at + 1)).cloned();
         argument.ok_or(LocalClusterError::NoFlag { flag })
--- a/crates/server/tests/slot_takeover.rs
+++ b/crates/server/tests/slot_takeover.rs
@@ -272,3 +272,34 @@
         }
     });
 }
+
+#[googletest::test]
+fn a_controller_whose_seeds_are_gone_takes_up_those_of_its_changed_settings() {
+    // Guards against a blank machine that starts while all its seeds are gone, and waits for
+    // them for ever although its settings name others by now.
+    block(async {
+        let f = LocalCluster::up(layout("seeds-again", "mohalla", 1)).await.unwrap();
+        let [listen, inner, gone] = {
+            let ports = local_cluster::free_ports(3).unwrap();
+            [0, 1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], ports[port])))
+        };
+        let file = f.layout.dir.join("controller.json");
+        let write = |seeds: String| std::fs::write(&file, json!({ "seeds": seeds }).to_string());
+        write(gone.to_string()).unwrap();
+        let settings = [
+            ("params", file.display().to_string()),
+            ("fleet", f.controllers[0].argument("--fleet").unwrap()),
+            ("zone", "a".to_string()),
+            ("listen", listen.to_string()),
+            ("inner", inner.to_string()),
+            ("data", f.layout.dir.join("seat-9").display().to_string()),
+        ];
+        let mut late = Process::controller(&f.layout, "controller-late", &settings);
+        late.start().unwrap();
+        let takes_orders = || async { patch_at(&f.http, listen, 0).await.0 == 200 };
+        expect_false!(takes_orders().await);
+        write(f.controllers[0].argument("--seeds").unwrap()).unwrap();
+        late.signal("HUP").unwrap();
+        expect_true!(local_cluster::until(LONG, takes_orders).await);
+    });
+}
--- a/crates/simulator/src/explore.rs
+++ b/crates/simulator/src/explore.rs
@@ -12,11 +12,14 @@
 
 use grebepath_core::protocol::operation::OperationResult;
 use grebepath_core::random::Random;
-use grebepath_core::time::SECOND;
+use grebepath_core::time::{SECOND, Span, ms};
 
 use crate::scenario::{Scenario, play_with_faults};
 use crate::world::{Fault, FaultInjection, FaultyVariant, InjectedFault, OperatorRequest, World};
 
+/// Time in which controllers take up new seeds and are told the voters.
+const SEEDS_TAKEN_UP: Span = ms(100);
+
 /// What is explored.
 pub struct Scope {
     /// The scenario that is played.
@@ -153,6 +156,9 @@
         wrong.push("not all voter slots are held by replicas that vote".into());
         return wrong;
     }
+    // A machine that came back blank, and whose seeds are gone, is told others by then.
+    world.renew_seeds();
+    world.run(SEEDS_TAKEN_UP);
     let last = world.submit(0, OperatorRequest::marked(world.operator_requests.len()));
     let accepted = |world: &World| {
         matches!(world.operator_requests[last].result, Some(OperationResult::Accepted { .. }))
--- a/crates/simulator/src/world/controllers.rs
+++ b/crates/simulator/src/world/controllers.rs
@@ -19,6 +19,8 @@
 use crate::mock_backends::ZONES;
 use crate::simulated_disk::Disk;
 
+/// Seeds that the platform writes into a process's settings (count).
+const SEEDS_WRITTEN: usize = 3;
 /// Time from a request to stop to the forced end of the process.
 const STOP_GRACE: Span = 6 * SECOND;
 
@@ -95,6 +97,28 @@
         list
     }
 
+    /// The platform writes settings whose seeds are voters of now, and the controllers take them
+    /// up: those that know no voter connect to them.
+    pub fn renew_seeds(&mut self) {
+        let is_voter = |node: &ControllerNode| node.up && node.has_voter_slot();
+        let voters = self.controllers.iter().enumerate().filter(|(_, node)| is_voter(node));
+        let seeds: Vec<usize> = voters.map(|(number, _)| number).take(SEEDS_WRITTEN).collect();
+        self.control_plane.seeds = seeds;
+        for controller in 0..self.controllers.len() {
+            let node = &self.controllers[controller];
+            let knows_voters =
+                node.state.voter_slots.voter_file.table.slots.iter().any(|slot| slot.holder != 0);
+            if !node.up || knows_voters {
+                continue;
+            }
+            let connection =
+                Opener::Controller { number: controller, life: node.life }.connection();
+            for to in self.connected_controllers(controller) {
+                self.announce_connection(to, CoreEvent::ConnectionOpened { connection });
+            }
+        }
+    }
+
     fn announce_connection(&mut self, to: usize, event: CoreEvent) {
         let life = self.controllers[to].life;
         self.push(ms(2), ScheduledEvent::ControllerEvent { controller: to, life, event });
--- a/crates/simulator/tests/explore.rs
+++ b/crates/simulator/tests/explore.rs
@@ -92,6 +92,17 @@
     sound("two handovers, five voters", &scope, 300);
 }
 
+#[test]
+fn a_machine_that_comes_back_blank_finds_the_others_when_its_seeds_have_left() {
+    // Two of its three seeds stop in order, and itself it is the third.
+    let stop = |which: u64| at(0.5, json!({ "do": "stop-seat", "which": which }));
+    for seed in [5, 14] {
+        let mut scope = scope(5, 12, (0.5, 0.7), vec![stop(0), stop(1)]);
+        (scope.faults, scope.seed) = (vec![Fault::DiskLost], seed);
+        sound(&format!("two handovers, seed {seed}"), &scope, 0);
+    }
+}
+
 /// All three voters restart, one after the other, each when the one before is back and
 /// somebody leads again. The second one leads; it restarts last.
 fn restarts_in_turn() -> Scope {
