Name substitutes for silent pollers of the platform's list

Cause: two members poll the list, by ranks that follow from the membership. A member that lost power keeps its rank until its lease has run out, 3 s or more; until then nobody polls.

Change: the leader of the configuration, which hears all members twice a second, tells those that would poll without the members that have missed a renewal, beside the grants of their leases, in a message of its own kind. They poll at once and for 1.3 s after they were last told. In calm times nobody is told. The simulator has rule 13, by the list's own clock and for queriers in touch by the faults that were applied; leafs that don't tell that they leave; and a variant without substitutes.

--- a/crates/core/src/control_plane/from_voters.rs
+++ b/crates/core/src/control_plane/from_voters.rs
@@ -105,8 +105,9 @@
                 let renewal = LeaseRenewal { member, count, progress: far };
                 self.on_lease_renewal(now, RenewalSource::Voter(from), renewal, commands);
             }
-            Message::LeaseGranted { ref name, .. } => {
-                self.on_lease_granted(&name.clone(), message, commands);
+            Message::LeaseGranted { ref name, .. }
+            | Message::SubstituteListPoller { ref name, .. } => {
+                self.pass_on_to_member(&name.clone(), message, commands);
             }
             Message::MembershipUpdate(membership) => {
                 self.on_membership_told(now, MembershipSource::Voter, membership, commands);
--- a/crates/core/src/control_plane/leases.rs
+++ b/crates/core/src/control_plane/leases.rs
@@ -30,6 +30,16 @@
     Voter(VoterSlot),
 }
 
+impl RenewalSource {
+    /// Sends an answer the way that the renewal came.
+    fn answer(self, message: Message) -> Command {
+        match self {
+            RenewalSource::Voter(slot) => Command::ToVoter { slot, message },
+            RenewalSource::Member(connection) => Command::ToConnection { connection, message },
+        }
+    }
+}
+
 impl ControllerState {
     /// The term under which we keep the leases, if we do.
     pub(super) fn lease_term(&self) -> Option<Term> {
@@ -125,24 +135,31 @@
             self.advance_membership(now, commands);
         }
         let revision = self.partitions[0].committed_revision;
-        let message = Message::LeaseGranted {
-            name,
+        let list_rank = self.members.substitute_list_rank(now, &name);
+        let grant = Message::LeaseGranted {
+            name: name.clone(),
             incarnation,
             number: count,
             term,
             revision,
             wants_membership: tell_membership,
         };
-        commands.push(match source {
-            RenewalSource::Voter(slot) => Command::ToVoter { slot, message },
-            RenewalSource::Member(connection) => Command::ToConnection { connection, message },
-        });
+        commands.push(source.answer(grant));
+        if let Some(rank) = list_rank {
+            let message = Message::SubstituteListPoller { name, incarnation, rank };
+            commands.push(source.answer(message));
+        }
     }
 
-    /// The leader granted a lease whose renewal we had forwarded.
-    pub(super) fn on_lease_granted(&self, name: &str, grant: Message, commands: &mut Vec<Command>) {
+    /// The leader tells a member whose renewal we had forwarded something.
+    pub(super) fn pass_on_to_member(
+        &self,
+        name: &str,
+        message: Message,
+        commands: &mut Vec<Command>,
+    ) {
         if let Some(connection) = self.members.connections.get(name) {
-            commands.push(Command::ToConnection { connection: *connection, message: grant });
+            commands.push(Command::ToConnection { connection: *connection, message });
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/control_plane/list_pollers.rs
@@ -0,0 +1,73 @@
+//! Who polls the platform's list of leafs in place of members that are silent.
+//!
+//! The membership alone says which two members poll it. One that has lost power or stands
+//! still keeps that rank until its lease has run out, which is as long as a leaving leaf may
+//! go unnoticed. The leader of the configuration hears every member, and names others as soon
+//! as renewals are missing.
+
+use crate::control_plane::members::Members;
+use crate::membership::neighbour_ring::list_pollers;
+use crate::protocol::membership::{Member, MembershipId};
+use crate::time::{Span, Tick, ms, since};
+
+/// A member that has not renewed its lease for this long is passed over: one renewal is
+/// missing, and the next one is late.
+const RENEWAL_SILENCE: Span = ms(1_100);
+
+/// How often the substitutes are chosen anew.
+const CHOICE_INTERVAL: Span = ms(100);
+
+/// The members that poll the list in place of silent ones.
+#[derive(Default)]
+pub struct SubstituteListPollers {
+    substitutes: Vec<Substitute>,
+    /// The membership among whose members they were chosen.
+    membership: MembershipId,
+    chosen_at: Tick,
+}
+
+struct Substitute {
+    name: String,
+    rank: u32,
+}
+
+impl Members {
+    /// The rank with which a member polls the list in place of silent ones, if it does.
+    pub(super) fn substitute_list_rank(&mut self, now: Tick, name: &str) -> Option<u32> {
+        self.choose_substitutes(now);
+        let mut substitutes = self.substitute_list_pollers.substitutes.iter();
+        substitutes.find(|substitute| substitute.name == name).map(|found| found.rank)
+    }
+
+    fn choose_substitutes(&mut self, now: Tick) {
+        let chosen = &self.substitute_list_pollers;
+        let id = self.membership.id();
+        if chosen.membership == id && since(chosen.chosen_at, now) < CHOICE_INTERVAL {
+            return;
+        }
+        self.substitute_list_pollers = SubstituteListPollers {
+            substitutes: self.substitutes(now),
+            membership: id,
+            chosen_at: now,
+        };
+    }
+
+    /// Those that would poll if the silent members were not there, and don't by the
+    /// membership.
+    fn substitutes(&self, now: Tick) -> Vec<Substitute> {
+        let usual =
+            list_pollers(&self.membership, |member| member.joined <= self.membership.settled);
+        let heard = list_pollers(&self.membership, |member| self.renews(now, member));
+        let ranked = (0..).zip(heard);
+        ranked
+            .filter(|(rank, member)| usual.get(*rank as usize) != Some(member))
+            .map(|(rank, member)| Substitute { name: member.name.clone(), rank })
+            .collect()
+    }
+
+    /// Whether a member's renewals come as they should.
+    fn renews(&self, now: Tick, member: &Member) -> bool {
+        let heard = self.last_renewals.get(&member.name);
+        !self.is_gone(member) && heard.is_some_and(|heard| since(heard.at, now) < RENEWAL_SILENCE)
+    }
+}
--- a/crates/core/src/control_plane/members.rs
+++ b/crates/core/src/control_plane/members.rs
@@ -7,6 +7,7 @@
 use crate::command::ConnectionId;
 use crate::consts;
 use crate::control_plane::commit_times::CommitTimes;
+use crate::control_plane::list_pollers::SubstituteListPollers;
 use crate::control_plane::membership_log::MembershipLog;
 use crate::identifiers::Term;
 use crate::protocol::membership::{Member, MemberProgress, Membership, MembershipId, Memberships};
@@ -38,6 +39,8 @@
     pub forgotten_at: u64,
     /// When revisions were committed, which the acceptance of changes goes by.
     pub commit_times: CommitTimes,
+    /// Who polls the platform's list in place of silent members.
+    pub(super) substitute_list_pollers: SubstituteListPollers,
     /// When a member was last asked for a membership that we don't know.
     membership_asked_at: Tick,
 }
--- a/crates/core/src/control_plane/mod.rs
+++ b/crates/core/src/control_plane/mod.rs
@@ -23,6 +23,7 @@
 mod handover;
 pub mod leadership_transfer;
 mod leases;
+mod list_pollers;
 pub mod members;
 mod membership_issue;
 pub mod membership_log;
--- a/crates/core/src/membership/assignments.rs
+++ b/crates/core/src/membership/assignments.rs
@@ -1,11 +1,12 @@
 //! Work that one member does for all: polling the platform's list of leafs, and
-//! health-checking leafs. Each key has one holder, by [`super::neighbour_ring`].
+//! health-checking leafs. Each key has one holder, by [`super::neighbour_ring`]. While members
+//! are silent the leader of the configuration names others that poll the list.
 
 use crate::consts;
 use crate::digest::hash;
 use crate::identifiers::{CONFIG, PartitionId, part_of, partitions};
 use crate::membership::lease::LEASE_TRUST;
-use crate::membership::neighbour_ring::PROBE_KEYS;
+use crate::membership::neighbour_ring::{LIST_POLLERS, PROBE_KEYS};
 use crate::membership::node_agent::{Command, NodeAgent};
 use crate::protocol::message::{LeafReport, Message};
 use crate::protocol::replica::EntryMap;
@@ -20,29 +21,59 @@
 /// that is gone.
 const HURRIED_FOR: Span = 3 * SECOND;
 
+/// How long a member polls the list in place of others after it was told to, which it is again
+/// with each grant of its lease: two of them, and the way.
+const SUBSTITUTION_VALIDITY: Span = ms(1_300);
+
 /// How often each leaf is health-checked, by one member for all.
 const PROBE_INTERVAL: Span = ms(1_000);
 
+/// Word of the leader that a member polls the list in place of silent ones.
+pub struct ListSubstitution {
+    /// The member's rank without them.
+    pub rank: usize,
+    /// When it was told.
+    pub told_at: Tick,
+}
+
 impl NodeAgent {
+    /// The leader says that we poll the list with this rank, in place of silent members.
+    pub(super) fn on_substitution(&mut self, now: Tick, incarnation: u64, rank: u32) {
+        if incarnation == self.member.incarnation {
+            self.list_substitution = Some(ListSubstitution { rank: rank as usize, told_at: now });
+        }
+    }
+
+    /// Our rank in place of silent members, if it still holds.
+    fn substitute_list_rank(&self, now: Tick) -> Option<usize> {
+        let told = self.list_substitution.as_ref();
+        told.filter(|told| since(told.told_at, now) < SUBSTITUTION_VALIDITY).map(|told| told.rank)
+    }
+
+    /// Our rank among those that poll the list, by the membership and by the leader.
+    fn list_rank(&self, now: Tick) -> Option<usize> {
+        let ranks = [self.ring.list_rank, self.substitute_list_rank(now)];
+        ranks.into_iter().flatten().min().filter(|rank| *rank < LIST_POLLERS)
+    }
+
     /// How often we poll the list: its holder often, and the next one seldom, so
-    /// that a holder that dies does not leave everyone blind for a whole lease.
+    /// that a holder that dies does not leave everyone blind until it is found silent.
     /// Nobody knows what the others hear; it is polled sooner after word of a leaf
     /// that is gone, since most come back under a new name.
     fn list_poll_period(&self, now: Tick) -> Option<Span> {
         let hurried = since(self.leaf_gone_at, now) < HURRIED_FOR && self.leaf_gone_at > 0;
-        match self.ring.list_rank? {
+        match self.list_rank(now)? {
             0 if hurried => Some(consts::LIST_HURRY),
             0 => Some(consts::LIST_POLL),
-            1 => Some(LIST_POLL_NEXT),
-            _ => None,
+            _ => Some(LIST_POLL_NEXT),
         }
     }
 
     /// The partitions for which we poll the list.
-    fn polled_partitions(&self) -> Vec<PartitionId> {
-        match self.ring.list_rank {
-            Some(0 | 1) => partitions().filter(|id| *id != CONFIG).collect(),
-            _ => Vec::new(),
+    fn polled_partitions(&self, now: Tick) -> Vec<PartitionId> {
+        match self.list_rank(now) {
+            Some(_) => partitions().filter(|id| *id != CONFIG).collect(),
+            None => Vec::new(),
         }
     }
 
@@ -63,6 +94,8 @@
         if now >= self.list_polled_at + period {
             self.list_polled_at = now;
             self.counters.list_polls += 1;
+            let is_usual = self.ring.list_rank.is_some_and(|rank| rank < LIST_POLLERS);
+            self.counters.substitute_list_polls += u64::from(!is_usual);
             commands.push(Command::PollLeafList);
         }
     }
@@ -82,7 +115,7 @@
                 return;
             }
         };
-        for partition in self.polled_partitions() {
+        for partition in self.polled_partitions(now) {
             let listed: Vec<LeafInfo> =
                 leafs.iter().filter(|leaf| part_of(&leaf.service) == partition).cloned().collect();
             self.on_listed(now, partition, listed, commands);
--- a/crates/core/src/membership/neighbour_ring.rs
+++ b/crates/core/src/membership/neighbour_ring.rs
@@ -5,8 +5,10 @@
 //! The member that holds an assignment is the highest by rendezvous among those
 //! whose joining is settled; who would hold it next is the second.
 
+use std::cmp::Reverse;
+
 use crate::digest::{hash, pair};
-use crate::protocol::membership::Membership;
+use crate::protocol::membership::{Member, Membership};
 
 /// Neighbours that each member speaks with, either way on the ring (count): each member
 /// is heard by twice as many others, and the cost does not grow with the membership.
@@ -16,6 +18,10 @@
 /// membership, few enough to find their holders at each change of it.
 pub const PROBE_KEYS: u64 = 64;
 
+/// Members that poll the platform's list at a time (count): its holder, and who would hold
+/// the assignment next.
+pub const LIST_POLLERS: usize = 2;
+
 /// The assignment of polling the platform's list, for all partitions at once: a poll
 /// brings the whole list, and each costs the platform.
 pub const LIST: &str = "list";
@@ -104,6 +110,25 @@
     Some(eligible.iter().filter(|member| member.rank(assignment) > own).count())
 }
 
+/// The first members by rank for polling the platform's list among those that `is_candidate`
+/// accepts. Who is not settled comes last, so that somebody polls while nobody is settled.
+pub fn list_pollers(
+    membership: &Membership,
+    is_candidate: impl Fn(&Member) -> bool,
+) -> Vec<&Member> {
+    let assignment = hash(LIST);
+    let rank = |member: &&Member| {
+        let is_settled = member.joined <= membership.settled;
+        let ring_member = RingMember { hash: hash(&member.name), name: &member.name };
+        Reverse((is_settled, ring_member.rank(assignment).0))
+    };
+    let mut candidates: Vec<&Member> =
+        membership.members.iter().filter(|member| is_candidate(member)).collect();
+    candidates.sort_by_cached_key(rank);
+    candidates.truncate(LIST_POLLERS);
+    candidates
+}
+
 fn neighbours(ring: &[RingMember], own: usize) -> Vec<String> {
     around(ring, own, 1..ring.len().min(NEIGHBOURS_EACH_WAY + 1))
 }
--- a/crates/core/src/membership/node_agent.rs
+++ b/crates/core/src/membership/node_agent.rs
@@ -7,6 +7,7 @@
 
 use crate::config::route::RoutingTable;
 use crate::identifiers::{PartitionId, VoterSlot, partitions};
+use crate::membership::assignments::ListSubstitution;
 use crate::membership::feed_sources::FeedSources;
 use crate::membership::lease::Lease;
 use crate::membership::neighbour_ring::NeighbourRing;
@@ -98,6 +99,8 @@
     pub feed: FeedSources,
     /// When we last asked our neighbours.
     pub gossiped_at: Tick,
+    /// The last word that we poll the list in place of silent members.
+    pub list_substitution: Option<ListSubstitution>,
     /// When we last polled the platform's list of leafs.
     pub list_polled_at: Tick,
     /// When we last heard of a leaf that is gone; zero before that.
@@ -159,6 +162,8 @@
     pub views: u64,
     /// Polls of the platform's list.
     pub list_polls: u64,
+    /// Those of them that were made in place of silent members.
+    pub substitute_list_polls: u64,
     /// Polls that failed.
     pub list_failures: u64,
     /// Health checks that were started.
@@ -290,6 +295,7 @@
             subscribe_at: now,
             feed: FeedSources::default(),
             gossiped_at: 0,
+            list_substitution: None,
             list_polled_at: 0,
             leaf_gone_at: 0,
             probe_at: now,
--- a/crates/core/src/membership/step.rs
+++ b/crates/core/src/membership/step.rs
@@ -69,7 +69,10 @@
             {
                 self.on_feed_positions(now, slot, places);
             }
-            Message::LeaseGranted { ref name, .. } if *name != self.member.name => {
+            Message::LeaseGranted { ref name, .. }
+            | Message::SubstituteListPoller { ref name, .. }
+                if *name != self.member.name =>
+            {
                 if self.forwarded_renewals.contains_key(name) {
                     self.send_to_member(&name.clone(), message, commands);
                 }
@@ -89,6 +92,9 @@
                     commands.push(Command::ToVoter { slot, message });
                 }
             }
+            Message::SubstituteListPoller { incarnation, rank, .. } => {
+                self.on_substitution(now, incarnation, rank);
+            }
             message => self.on_update_message(message, Source::Voter, commands),
         }
     }
@@ -144,6 +150,11 @@
             {
                 self.on_lease_granted(None, count, revision);
             }
+            Message::SubstituteListPoller { name, incarnation, rank }
+                if name == self.member.name =>
+            {
+                self.on_substitution(now, incarnation, rank);
+            }
             message => self.on_update_message(message, Source::Member, commands),
         }
     }
--- a/crates/core/src/protocol/message.rs
+++ b/crates/core/src/protocol/message.rs
@@ -213,4 +213,9 @@
     },
     /// What came of it.
     OperationResponse { op: u64, attempt: u64, result: OperationResult },
+
+    // ---- leafs, continued: later variants stand last, for the formats' sake ----
+    /// The process of this incarnation polls the platform's list with this rank, in place of
+    /// members that are silent; beside each grant, as long as it is so.
+    SubstituteListPoller { name: String, incarnation: u64, rank: u32 },
 }
--- a/crates/core/src/protocol/message_shapes.rs
+++ b/crates/core/src/protocol/message_shapes.rs
@@ -109,6 +109,8 @@
     // OperationRequest, OperationResponse
     &[U64, U64, TERM, Text, Maybe(&U64), OPERATION],
     &[U64, U64, OPERATION_RESULT],
+    // SubstituteListPoller
+    &[Text, U64, U32],
 ]);
 
 /// A replica's state, as a snapshot file holds it.
--- a/crates/core/tests/assignments.rs
+++ b/crates/core/tests/assignments.rs
@@ -1,4 +1,5 @@
-//! Work that one member does for all goes on while the member that does it stops.
+//! Work that one member does for all goes on while the member that does it stops, and while
+//! it is silent.
 
 use googletest::prelude::*;
 use grebepath_core::identifiers::Term;
@@ -121,3 +122,23 @@
     }
     expect_that!(checked_by, eq(MEMBERS));
 }
+
+fn substitute(agent: &mut NodeAgent, now: Tick, incarnation: u64) {
+    let name = agent.member.name.clone();
+    let message = Message::SubstituteListPoller { name, incarnation, rank: 0 };
+    agent.step(now, Event::FromVoter { slot: 0, message });
+}
+
+#[gtest]
+fn a_member_polls_the_list_as_soon_and_as_long_as_the_leader_says() {
+    let mut last = agent(by_rank()[MEMBERS - 1]);
+    expect_that!(times(&mut last, SECOND, is_poll), is_empty());
+    // What was said to a former process does not count.
+    substitute(&mut last, BOOT, 7);
+    expect_that!(times(&mut last, SECOND, is_poll), is_empty());
+    substitute(&mut last, BOOT, 1);
+    let polls = times(&mut last, GRACE, is_poll);
+    expect_that!(polls.first(), some(le(&(BOOT + WAKE))));
+    expect_that!(polls.last(), some(le(&(BOOT + LONGEST_GAP))));
+    expect_that!(last.counters.substitute_list_polls, eq(polls.len() as u64));
+}
--- a/crates/core/tests/format_fixtures.rs
+++ b/crates/core/tests/format_fixtures.rs
@@ -4,7 +4,8 @@
 //! The files under `fixtures/formats/` were written once, with the formats of
 //! commit 9bec00c, from the values in `format_fixtures/`. They are never written
 //! again: where a test here fails, the code has changed a format that running
-//! processes and their disks still use. A format that changes on purpose gets a
+//! processes and their disks still use. Messages that were added since stand in
+//! `messages-added.bodies`, each appended when it was added. A format that changes on purpose gets a
 //! version number of its own and fixtures beside these.
 
 mod cluster;
@@ -46,8 +47,11 @@
 const LARGE_MESSAGE_START: &[u8] = include_bytes!("fixtures/formats/large-message.start");
 const VOTER_FILE: &[u8] = include_bytes!("fixtures/formats/voter-file");
 
-/// Variants that messages had when the fixtures were written (count).
-const MESSAGE_VARIANTS: usize = 41;
+/// Messages that were added after those of `MESSAGES`.
+const ADDED_MESSAGES: &[u8] = include_bytes!("fixtures/formats/messages-added.bodies");
+
+/// Variants that messages have in the fixtures (count).
+const MESSAGE_VARIANTS: usize = 42;
 /// Bytes of a head, and most bytes of a piece's body.
 const HEAD_BYTES: usize = 12;
 const PIECE_BYTES: usize = 64 * 1024;
@@ -274,6 +278,11 @@
     bodies
 }
 
+/// The bodies of all messages, in the order of `messages::all`.
+fn message_bodies() -> Vec<&'static [u8]> {
+    [bodies(MESSAGES), bodies(ADDED_MESSAGES)].concat()
+}
+
 fn read_message(body: &[u8], expected: &Message) -> Outcome {
     let found = Message::deserialize_bin(body).map_err(|error| error.to_string())?;
     same("message", &found, expected)
@@ -281,7 +290,7 @@
 
 #[googletest::test]
 fn messages_are_read_and_written_as_before() {
-    let (bodies, expected) = (bodies(MESSAGES), messages::all());
+    let (bodies, expected) = (message_bodies(), messages::all());
     assert_that!(bodies.len(), eq(expected.len()));
     for (body, msg) in bodies.iter().zip(&expected) {
         expect_that!(read_message(body, msg), ok(eq(&())));
@@ -292,7 +301,7 @@
 #[googletest::test]
 fn every_variant_of_a_message_is_among_the_fixtures() {
     let number = |body: &[u8]| u16::from_le_bytes([body[0], body[1]]);
-    let found: BTreeSet<u16> = bodies(MESSAGES).into_iter().map(number).collect();
+    let found: BTreeSet<u16> = message_bodies().into_iter().map(number).collect();
     let expected: BTreeSet<u16> = (0..MESSAGE_VARIANTS as u16).collect();
     expect_that!(found, eq(&expected));
 }
@@ -375,7 +384,7 @@
 
 #[googletest::test]
 fn a_changed_byte_in_a_message_is_not_taken_for_the_same() {
-    for (body, msg) in bodies(MESSAGES).into_iter().zip(messages::all()) {
+    for (body, msg) in message_bodies().into_iter().zip(messages::all()) {
         for (at, changed) in changed_copies(body) {
             assert!(frame::encode(&msg) != changed, "{msg:?}, byte {at}");
             // Bytes from 0x80 on stand in numbers and contents only. A changed length
--- a/crates/core/tests/format_fixtures/messages.rs
+++ b/crates/core/tests/format_fixtures/messages.rs
@@ -15,7 +15,7 @@
     partition, places, ready_progress, replica_state, table, term, wide,
 };
 
-/// All of them, in the order of the fixture file.
+/// All of them, in the order of the two fixture files.
 pub fn all() -> Vec<Message> {
     [
         greetings(),
@@ -31,10 +31,20 @@
         leafs(),
         operations(),
         operation_results(),
+        added(),
     ]
     .concat()
 }
 
+/// Those that were added after the first fixture file was written.
+fn added() -> Vec<Message> {
+    vec![Message::SubstituteListPoller {
+        name: "querier-1".into(),
+        incarnation: wide(1),
+        rank: narrow(2),
+    }]
+}
+
 fn greetings() -> Vec<Message> {
     let whos = [
         PeerIdentity::Voter { slot: 7, replica_id: wide(2) },
--- a/crates/server/src/querier/metrics.rs
+++ b/crates/server/src/querier/metrics.rs
@@ -112,6 +112,13 @@
             c.updates_from_members,
         );
         one(o, "counter", "grebe_list_polls_total", "Polls of the platform's list.", c.list_polls);
+        one(
+            o,
+            "counter",
+            "grebe_list_substitute_polls_total",
+            "Of these, in place of silent members.",
+            c.substitute_list_polls,
+        );
         one(o, "counter", "grebe_list_troubles_total", "Polls that failed.", c.list_failures);
         one(o, "counter", "grebe_probes_total", "Probes of leafs.", c.probes);
         one(
--- a/crates/simulator/src/mock_backends.rs
+++ b/crates/simulator/src/mock_backends.rs
@@ -71,8 +71,12 @@
     pub alive: Alive,
     /// Its capacity, as a percentage of its service's.
     pub strength: u32,
-    /// Whether it says that it is leaving.
+    /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether it tells who asks it that it leaves.
+    pub tells_leaving: bool,
+    /// From when on the platform's list shows that it leaves.
+    pub shown_leaving: Option<Tick>,
     /// When the first of our nodes learned that it leaves.
     pub known_leaving: Option<Tick>,
     /// When its process started.
@@ -101,6 +105,8 @@
     pub list_mode: ListMode,
     /// Whether leafs tell their age.
     pub ages: bool,
+    /// Whether leafs tell that they leave; else the list alone shows it.
+    pub tells_leaving: bool,
     /// Time from a change until the list shows it.
     pub list_lag: Span,
     /// The number of the next leaf.
@@ -137,6 +143,7 @@
             list_versions: Vec::new(),
             list_mode: ListMode::Good,
             ages: true,
+            tells_leaving: true,
             list_lag: ms(spec.list_lag_ms),
             next: 1,
         };
@@ -172,6 +179,8 @@
                 alive: Alive::Up,
                 strength: 100,
                 leaving: false,
+                tells_leaving: self.tells_leaving,
+                shown_leaving: None,
                 known_leaving: None,
                 born,
                 in_progress: 0,
@@ -202,7 +211,19 @@
     /// Notes a change; the list shows it later.
     pub fn list_changed(&mut self, now: Tick) {
         let text = self.true_list();
-        self.list_versions.push((now + self.list_lag, text));
+        let shown_at = now + self.list_lag;
+        self.list_versions.push((shown_at, text));
+        for leaf in self.leafs.values_mut().filter(|leaf| leaf.leaving) {
+            leaf.shown_leaving.get_or_insert(shown_at);
+        }
+    }
+
+    /// Whether leafs tell from now on that they leave.
+    pub fn set_tells_leaving(&mut self, tells: bool) {
+        self.tells_leaving = tells;
+        for leaf in self.leafs.values_mut() {
+            leaf.tells_leaving = tells;
+        }
     }
 
     /// What the list answers now; `None` if it does not.
@@ -254,6 +275,11 @@
         base / 2 + random.below(base / 2 + 1) + over + extra
     }
 
+    /// Whether it tells now that it leaves.
+    pub fn says_leaving(&self) -> bool {
+        self.leaving && self.tells_leaving
+    }
+
     /// Headers that every response carries.
     pub fn headers(&self, now: Tick) -> ReplyHeaders {
         let busy = (f64::from(self.in_progress) / f64::from(self.capacity(now))).min(1.0);
@@ -261,7 +287,7 @@
             postmarks: Vec::new(),
             busy: Some(format!("{busy:.2}")),
             age: Some((since(self.born, now) / MILLI).to_string()),
-            state: self.leaving.then(|| "leaving".to_string()),
+            state: self.says_leaving().then(|| "leaving".to_string()),
             ..ReplyHeaders::default()
         }
     }
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -216,6 +216,16 @@
         }
     }
 
+    /// Rule 13: a querier in touch sends to a leaf that the platform's list has shown as leaving
+    /// for so long.
+    pub fn check_shown_leaving(&mut self, now: Tick, who: &str, leaf: &str, shown_for: Tick) {
+        if shown_for > 3 * SECOND {
+            let late = shown_for as f64 / 1e6;
+            let text = format!("{who} sends to {leaf}, shown as leaving for {late:.2} s");
+            self.violated(now, 13, text);
+        }
+    }
+
     /// Rule 11: a fresh leaf has `live` in hand and bears `bears`.
     pub fn check_warm_up_load(&mut self, now: Tick, leaf: &str, live: u32, bears: u32) {
         if live * 2 > bears * 3 + 1 {
--- a/crates/simulator/src/scale_model/meter.rs
+++ b/crates/simulator/src/scale_model/meter.rs
@@ -80,6 +80,7 @@
         Message::Gossip { .. } => "gossip",
         Message::LeafList { .. } => "leaf list",
         Message::LeafReports { .. } => "leaf reports",
+        Message::SubstituteListPoller { .. } => "substitute list poller",
         Message::OperationRequest { .. } | Message::OperationResponse { .. } => "operation",
         _ => "election",
     }
--- a/crates/simulator/src/scenario/apply.rs
+++ b/crates/simulator/src/scenario/apply.rs
@@ -18,6 +18,7 @@
 impl World {
     /// Applies a fault, or another action of a scenario.
     pub fn apply_fault(&mut self, fault: &ScheduledFault) {
+        self.note_disturbance(fault);
         let parameters = &fault.parameters;
         let duration = parameters["for_s"].as_f64().map(|seconds| (seconds * SECOND as f64) as u64);
         match fault.action.as_str() {
--- a/crates/simulator/src/scenario/mod.rs
+++ b/crates/simulator/src/scenario/mod.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 
+use grebepath_core::time::Span;
 use serde_json::Value;
 
 use crate::spec::Spec;
@@ -35,6 +36,10 @@
     pub faults: Vec<ScheduledFault>,
     /// Whether leafs tell their age.
     pub ages: bool,
+    /// Time from the wish that a querier stops until it rejects calls, if the scenario says so.
+    pub drain_notice: Option<Span>,
+    /// Whether leafs tell that they leave.
+    pub tells_leaving: bool,
     /// How the control plane is set up.
     pub control_plane: world::ControlPlaneSetup,
 }
--- a/crates/simulator/src/scenario/play.rs
+++ b/crates/simulator/src/scenario/play.rs
@@ -60,7 +60,9 @@
     let mut world =
         World::new(&scenario.spec, scenario.control_plane.clone(), scenario.queriers, seed);
     world.faulty_variant = faulty_variant;
+    world.drain_notice = scenario.drain_notice;
     world.backends.ages = scenario.ages;
+    world.backends.set_tells_leaving(scenario.tells_leaving);
     world.submit(ms(200), OperatorRequest::replace(&scenario.config));
     world.until(20 * SECOND, |world| {
         world.settled()
--- a/crates/simulator/src/scenario/read.rs
+++ b/crates/simulator/src/scenario/read.rs
@@ -1,6 +1,7 @@
 //! Reads a scenario from JSON, with all diagnostics at their places.
 
 use grebepath_core::diagnostic::{Diagnostic, find};
+use grebepath_core::time::ms;
 use serde_json::Value;
 
 use super::values::{Fleet, disk_health, leaf_mode, list_mode};
@@ -47,7 +48,7 @@
 ];
 
 /// The fields of a scenario.
-const FIELDS: [&str; 10] = [
+const FIELDS: [&str; 12] = [
     "name",
     "seconds",
     "queriers",
@@ -56,6 +57,8 @@
     "config",
     "troubles",
     "ages",
+    "tells_leaving",
+    "drain_notice_ms",
     "seats",
     "controllers",
 ];
@@ -98,6 +101,8 @@
             config,
             faults,
             ages: value["ages"].as_bool().unwrap_or(true),
+            drain_notice: value["drain_notice_ms"].as_u64().map(ms),
+            tells_leaving: value["tells_leaving"].as_bool().unwrap_or(true),
             control_plane,
         }),
         _ => Err(diagnostics),
--- a/crates/simulator/src/world/discovery.rs
+++ b/crates/simulator/src/world/discovery.rs
@@ -89,12 +89,12 @@
         }
         let mut word = LeafReport { leaf: info.leaf.clone(), ..LeafReport::default() };
         if leaf.name == info.leaf {
-            word.leaving =
-                leaf.leaving && self.faulty_variant != Some(FaultyVariant::IgnoresLeavingLeafs);
+            word.leaving = leaf.says_leaving()
+                && self.faulty_variant != Some(FaultyVariant::IgnoresLeavingLeafs);
             if self.backends.ages {
                 word.age_ms = grebepath_core::time::since(leaf.born, self.now) / MILLI;
             }
-            if leaf.leaving {
+            if leaf.says_leaving() {
                 self.learn(&info.leaf.clone());
             }
         } else {
--- a/crates/simulator/src/world/faulty_variant.rs
+++ b/crates/simulator/src/world/faulty_variant.rs
@@ -31,6 +31,8 @@
     SucceedsBelowQuorum,
     /// Attempts are sent on new connections without asking which leaf is there.
     NoIdentityCheck,
+    /// Nobody polls the platform's list in place of members that are silent.
+    NoSubstituteListPollers,
     /// Members report to the controllers, not to each other, what leafs tell them.
     NoLeafReports,
     /// Controllers never scrub their files.
--- a/crates/simulator/src/world/injected_faults.rs
+++ b/crates/simulator/src/world/injected_faults.rs
@@ -106,6 +106,7 @@
         event: ScheduledEvent,
     ) -> Option<ScheduledEvent> {
         let message = matches!(event, ScheduledEvent::ControllerEvent { .. });
+        self.note_injected_fault();
         match fault {
             Fault::Lose if message => return None,
             Fault::Delay if message => {
--- a/crates/simulator/src/world/leafs.rs
+++ b/crates/simulator/src/world/leafs.rs
@@ -33,6 +33,11 @@
             let (zone, known) = (leaf.zone.clone(), leaf.known_leaving.map(|k| k - BEGIN));
             self.rules.check_dispatch(now, &who, &sending.leaf, &zone, known);
         }
+        if let Some(shown_for) = self.shown_leaving_for(&sending.leaf)
+            && self.is_in_touch(engine.querier)
+        {
+            self.rules.check_shown_leaving(now, &who, &sending.leaf, shown_for);
+        }
         if self.faulty_variant == Some(FaultyVariant::AltersQuestion) {
             let mut val: Value = serde_json::from_slice(&sending.body).unwrap_or(Value::Null);
             val["question"] = json!("something else");
@@ -172,7 +177,7 @@
         if leaf.mode == Mode::Unrun || in_progress > capacity * REJECTS_BEYOND {
             leaf.in_progress -= 1;
             let (zone, response) = (leaf.zone.clone(), leaf.rejection(now, UNAVAILABLE));
-            if leaf.leaving {
+            if leaf.says_leaving() {
                 self.learn(&name);
             }
             return self.answer(key, &zone, Ok(response));
@@ -211,7 +216,7 @@
             let question = asked["question"].as_str().unwrap_or_default();
             self.rules.record_answer(&leaf.service.name, &run.sending.id, question);
         }
-        if leaf.leaving {
+        if leaf.says_leaving() {
             self.learn(&run.leaf);
             if self.faulty_variant == Some(FaultyVariant::IgnoresLeavingLeafs) {
                 raw.headers = ReplyHeaders { state: None, ..raw.headers };
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use grebepath_core::random::Random;
-use grebepath_core::time::{Tick, ms};
+use grebepath_core::time::{Span, Tick, ms};
 
 use crate::event_queue::EventQueue;
 use crate::mock_backends::MockBackends;
@@ -20,6 +20,7 @@
 mod discovery;
 mod events;
 mod faulty_variant;
+mod in_touch;
 mod injected_faults;
 mod leafs;
 mod membership_memory;
@@ -82,10 +83,13 @@
     pub faulty_variant: Option<FaultyVariant>,
     cold_leafs: cold_leafs::ColdLeafs,
     membership_memory: membership_memory::MembershipMemory,
+    disturbances: in_touch::Disturbances,
     /// Set from a scenario: run when their time comes.
     pub faults: Vec<crate::scenario::ScheduledFault>,
     /// No more calls from here on.
     pub calls_end_at: Tick,
+    /// Time from the wish that a querier stops until it rejects calls; else the querier's own.
+    pub drain_notice: Option<Span>,
     /// Callers call any querier that runs, ready or not.
     pub ignore_readiness: bool,
     /// When each request was acknowledged.
--- a/crates/simulator/src/world/queriers.rs
+++ b/crates/simulator/src/world/queriers.rs
@@ -85,6 +85,9 @@
     /// Asks a querier to stop, as SIGTERM does; it ends once it has drained.
     pub fn stop_querier(&mut self, querier: usize) {
         let life = self.queriers[querier].life;
+        if let Some(notice) = self.drain_notice {
+            self.queriers[querier].node_agent.drain_notice = notice;
+        }
         self.push(
             1,
             ScheduledEvent::NodeAgentEvent { querier, life, event: node_agent::Event::Stop },
@@ -117,6 +120,11 @@
     ) {
         let event = match message {
             Message::VoterSetUpdate { voter_set: table, .. } => node_agent::Event::VoterSet(table),
+            Message::SubstituteListPoller { .. }
+                if self.faulty_variant == Some(FaultyVariant::NoSubstituteListPollers) =>
+            {
+                return;
+            }
             message => match seat_of(&self.queriers[querier].node_agent.voter_set, holder) {
                 Some(slot) => node_agent::Event::FromVoter { slot, message },
                 None => return,
