--- a/crates/core/src/control_plane/from_connections.rs
+++ b/crates/core/src/control_plane/from_connections.rs
@@ -34,11 +34,11 @@
         commands: &mut Vec<Command>,
     ) {
         match message {
-            Message::Subscribe { positions: places, stamp } => {
-                self.on_subscribe(connection, places, stamp, commands);
+            Message::Subscribe { positions, stamp } => {
+                self.on_subscribe(connection, positions, stamp, commands);
             }
-            Message::RenewLease { member, number: count, progress: far } => {
-                let renewal = LeaseRenewal { member, count, progress: far };
+            Message::RenewLease { member, number, progress } => {
+                let renewal = LeaseRenewal { member, number, progress };
                 self.on_lease_renewal(now, RenewalSource::Member(connection), renewal, commands);
             }
             Message::MembershipUpdate(membership) => {
@@ -51,11 +51,11 @@
                 op,
                 attempt,
                 request,
-                expected_revision: expect,
-                operation: deed,
+                expected_revision,
+                operation,
                 ..
             } => {
-                let request = Request { id: request, expected_revision: expect, operation: deed };
+                let request = Request { id: request, expected_revision, operation };
                 let origin = ForwardedOperation { connection, number: op, attempt };
                 self.on_forwarded_operation(now, origin, request, commands);
             }
@@ -76,8 +76,8 @@
         commands: &mut Vec<Command>,
     ) {
         match message {
-            Message::VoterSetUpdate { voter_set: table, .. } => {
-                self.voter_slots.learn(&table, commands);
+            Message::VoterSetUpdate { voter_set, .. } => {
+                self.voter_slots.learn(&voter_set, commands);
             }
             Message::JoinRequest { replica_id: holder, addr, zone, stamp } => {
                 let candidate = Candidate { replica_id: holder, addr: &addr, zone: &zone };
@@ -86,9 +86,9 @@
             Message::HandoverAccept { slot, holder: holding } => {
                 self.on_handover_accept(now, slot, holding, commands);
             }
-            Message::Handover { slot, generation, voter_set: table, replicas, memberships } => {
+            Message::Handover { slot, generation, voter_set, replicas, memberships } => {
                 let received =
-                    ReceivedHandover { slot, generation, voter_set: table, replicas, memberships };
+                    ReceivedHandover { slot, generation, voter_set, replicas, memberships };
                 self.on_handover(now, connection, received, commands);
             }
             Message::SlotTakeover { slot, holder: holding } => {
@@ -119,8 +119,8 @@
                     let counters = &mut self.counters;
                     endpoints::on_list(partition, now, group, fence, leafs, counters, commands);
                 }
-                Message::LeafReports { reports: words, .. } => {
-                    endpoints::on_reports(partition, now, group, words, commands);
+                Message::LeafReports { reports, .. } => {
+                    endpoints::on_reports(partition, now, group, reports, commands);
                 }
                 _ => {}
             },
--- a/crates/core/src/control_plane/from_controllers.rs
+++ b/crates/core/src/control_plane/from_controllers.rs
@@ -15,8 +15,8 @@
         commands: &mut Vec<Command>,
     ) {
         match message {
-            Message::VoterSetUpdate { replica_id: me, voter_set: table } => {
-                self.voter_slots.on_voter_set_answer(me, &table, commands);
+            Message::VoterSetUpdate { replica_id: me, voter_set } => {
+                self.voter_slots.on_voter_set_answer(me, &voter_set, commands);
             }
             Message::JoinOffer { slot, stamp, free } => {
                 self.on_join_offer(now, slot, stamp, free, commands);
--- a/crates/core/src/control_plane/from_voters.rs
+++ b/crates/core/src/control_plane/from_voters.rs
@@ -56,8 +56,8 @@
         commands: &mut Vec<Command>,
     ) -> bool {
         let VoterSender { slot, replica_id, connection } = sender;
-        if let Message::VoterSetUpdate { voter_set: table, .. } = message {
-            self.voter_slots.learn(table, commands);
+        if let Message::VoterSetUpdate { voter_set, .. } = message {
+            self.voter_slots.learn(voter_set, commands);
         }
         if !self.voter_slots.is_held_by(slot, replica_id) {
             self.voter_slots.resend_voter_set(now, slot, connection, commands);
@@ -101,8 +101,8 @@
         commands: &mut Vec<Command>,
     ) {
         match message {
-            Message::RenewLease { member, number: count, progress: far } => {
-                let renewal = LeaseRenewal { member, count, progress: far };
+            Message::RenewLease { member, number, progress } => {
+                let renewal = LeaseRenewal { member, number, progress };
                 self.on_lease_renewal(now, RenewalSource::Voter(from), renewal, commands);
             }
             Message::LeaseGranted { ref name, .. }
@@ -117,11 +117,11 @@
                 attempt,
                 term,
                 request,
-                expected_revision: expect,
-                operation: deed,
+                expected_revision,
+                operation,
             } => {
                 let origin = OperationOrigin { slot: Some(from), op, attempt };
-                let request = Request { id: request, expected_revision: expect, operation: deed };
+                let request = Request { id: request, expected_revision, operation };
                 self.on_operation_request(now, origin, term, request, commands);
             }
             Message::OperationResponse { op, attempt, result: done } => {
--- a/crates/core/src/control_plane/leases.rs
+++ b/crates/core/src/control_plane/leases.rs
@@ -16,7 +16,7 @@
     /// Who renews.
     pub member: Member,
     /// Number of the renewal, which the grant names.
-    pub count: u64,
+    pub number: u64,
     /// How far the member is.
     pub progress: MemberProgress,
 }
@@ -100,8 +100,8 @@
         if matches!(source, RenewalSource::Member(_))
             && let Role::Follower { leader: Some(leader), .. } = self.partitions[0].role
         {
-            let LeaseRenewal { member, count, progress: far } = renewal;
-            let message = Message::RenewLease { member, number: count, progress: far };
+            let LeaseRenewal { member, number, progress } = renewal;
+            let message = Message::RenewLease { member, number, progress };
             commands.push(Command::ToVoter { slot: leader.slot, message });
         }
     }
@@ -123,10 +123,10 @@
         renewal: LeaseRenewal,
         commands: &mut Vec<Command>,
     ) {
-        let LeaseRenewal { member, count, progress } = renewal;
+        let LeaseRenewal { member, number, progress } = renewal;
         let (name, incarnation) = (member.name.clone(), member.incarnation);
         let is_leaving = progress.leaving;
-        let tell_membership = self.members.asks_for_membership(now, &progress);
+        let wants_membership = self.members.asks_for_membership(now, &progress);
         if !self.members.note_renewal(now, member, progress) {
             return;
         }
@@ -139,10 +139,10 @@
         let grant = Message::LeaseGranted {
             name: name.clone(),
             incarnation,
-            number: count,
+            number,
             term,
             revision,
-            wants_membership: tell_membership,
+            wants_membership,
         };
         commands.push(source.answer(grant));
         if let Some(rank) = list_rank {
--- a/crates/core/src/control_plane/membership_updates.rs
+++ b/crates/core/src/control_plane/membership_updates.rs
@@ -133,8 +133,8 @@
         self.begin_leases(now);
         for origin in proved {
             let membership = self.members.membership.clone();
-            let far = self.members.status(now);
-            origin.respond(OperationResult::Status { membership, progress: far }, commands);
+            let progress = self.members.status(now);
+            origin.respond(OperationResult::Status { membership, progress }, commands);
         }
     }
 }
--- a/crates/core/src/control_plane/operation_forwarding.rs
+++ b/crates/core/src/control_plane/operation_forwarding.rs
@@ -95,16 +95,10 @@
             let origin = OperationOrigin { slot: None, op, attempt };
             return self.execute_as_leader(now, origin, request, commands);
         }
-        let Request { id: request, expected_revision: expect, operation: deed } = request;
+        let Request { id: request, expected_revision, operation } = request;
         let term = to.term;
-        let message = Message::OperationRequest {
-            op,
-            attempt,
-            term,
-            request,
-            expected_revision: expect,
-            operation: deed,
-        };
+        let message =
+            Message::OperationRequest { op, attempt, term, request, expected_revision, operation };
         commands.push(Command::ToVoter { slot: to.slot, message });
     }
 
--- a/crates/core/src/control_plane/subscriptions.rs
+++ b/crates/core/src/control_plane/subscriptions.rs
@@ -26,9 +26,9 @@
 
     /// Brings one follower up to what is committed.
     fn bring_up_to_date(&mut self, connection: ConnectionId, commands: &mut Vec<Command>) {
-        let Some(places) = self.followers.get_mut(&connection) else { return };
+        let Some(positions) = self.followers.get_mut(&connection) else { return };
         let membership = &self.members.membership;
-        if let Some(revision) = places.get_mut(&COHORT)
+        if let Some(revision) = positions.get_mut(&COHORT)
             && *revision < membership.feed_revision()
         {
             *revision = membership.feed_revision();
@@ -36,7 +36,7 @@
             commands.push(Command::ToConnection { connection, message });
         }
         for partition in &self.partitions {
-            let revision = places.entry(partition.id).or_insert(0);
+            let revision = positions.entry(partition.id).or_insert(0);
             if let Some(message) = feed::update_after(partition, *revision) {
                 *revision = partition.committed_revision;
                 self.counters.updates_sent += 1;
@@ -50,11 +50,11 @@
     pub(super) fn on_subscribe(
         &mut self,
         connection: ConnectionId,
-        places: Vec<FeedPosition>,
+        positions: Vec<FeedPosition>,
         stamp: u64,
         commands: &mut Vec<Command>,
     ) {
-        let wants_membership = places.iter().any(|place| place.partition == COHORT);
+        let wants_membership = positions.iter().any(|place| place.partition == COHORT);
         if !wants_membership && !self.followers.contains_key(&connection) {
             self.greet(connection, commands);
         }
@@ -62,7 +62,7 @@
             self.voter_slots.send_voter_set(connection, commands);
         }
         let known = self.followers.entry(connection).or_default();
-        for place in places {
+        for place in positions {
             known.insert(place.partition, place.revision);
         }
         commands.push(Command::ToConnection { connection, message: self.feed_positions() });
@@ -72,14 +72,14 @@
     /// How far we have accepted each partition of which we can say so.
     fn feed_positions(&self) -> Message {
         let able = self.partitions.iter().filter(|partition| partition.can_vote());
-        let mut places: Vec<FeedPosition> = able
+        let mut positions: Vec<FeedPosition> = able
             .map(|partition| FeedPosition {
                 partition: partition.id,
                 revision: partition.state.revision,
             })
             .collect();
         let revision = self.members.membership.feed_revision();
-        places.push(FeedPosition { partition: COHORT, revision });
-        Message::FeedPositions { positions: places, stamp: self.voter_slots.stamp }
+        positions.push(FeedPosition { partition: COHORT, revision });
+        Message::FeedPositions { positions, stamp: self.voter_slots.stamp }
     }
 }
--- a/crates/core/src/membership/leaf_reports.rs
+++ b/crates/core/src/membership/leaf_reports.rs
@@ -77,9 +77,9 @@
             self.drop_shown_reports();
         }
         let (to_voters, to_members) = self.take_due_reports(now);
-        for (partition, words) in to_voters {
+        for (partition, reports) in to_voters {
             // To every voter: the one that serves us may be cut off from the leader.
-            self.send_to_voters(&Message::LeafReports { partition, reports: words }, commands);
+            self.send_to_voters(&Message::LeafReports { partition, reports }, commands);
         }
         for name in &self.ring.neighbours {
             for (partition, reports) in &to_members {
--- a/crates/core/src/membership/step.rs
+++ b/crates/core/src/membership/step.rs
@@ -64,10 +64,8 @@
     ) {
         match message {
             // Under another voter set it may be about a replica that was replaced.
-            Message::FeedPositions { positions: places, stamp }
-                if stamp == self.voter_set_stamp =>
-            {
-                self.on_feed_positions(now, slot, places);
+            Message::FeedPositions { positions, stamp } if stamp == self.voter_set_stamp => {
+                self.on_feed_positions(now, slot, positions);
             }
             Message::LeaseGranted { ref name, .. }
             | Message::SubstituteListPoller { ref name, .. }
@@ -77,17 +75,11 @@
                     self.send_to_member(&name.clone(), message, commands);
                 }
             }
-            Message::LeaseGranted {
-                incarnation,
-                number: count,
-                revision,
-                wants_membership: tell_membership,
-                ..
-            } => {
+            Message::LeaseGranted { incarnation, number, revision, wants_membership, .. } => {
                 if incarnation == self.member.incarnation {
-                    self.on_lease_granted(Some(slot), count, revision);
+                    self.on_lease_granted(Some(slot), number, revision);
                 }
-                if tell_membership && self.membership.term > Term::ZERO {
+                if wants_membership && self.membership.term > Term::ZERO {
                     let message = Message::MembershipUpdate(self.membership.clone());
                     commands.push(Command::ToVoter { slot, message });
                 }
@@ -114,41 +106,29 @@
         commands: &mut Vec<Command>,
     ) {
         match message {
-            Message::Gossip {
-                name,
-                core_age_ms,
-                ready,
-                positions: places,
-                asked,
-                echo,
-                attestation,
-            } => {
-                let gossip =
-                    Gossip { core_age_ms, ready, positions: places, asked, echo, attestation };
+            Message::Gossip { name, core_age_ms, ready, positions, asked, echo, attestation } => {
+                let gossip = Gossip { core_age_ms, ready, positions, asked, echo, attestation };
                 self.on_gossip(now, &name, gossip, commands);
             }
-            Message::VoterSetUpdate { voter_set: table, .. } => self.on_voter_set(&table, commands),
-            Message::Subscribe { positions: places, stamp } => {
-                self.on_member_subscribe(name, &places, stamp, commands);
+            Message::VoterSetUpdate { voter_set, .. } => self.on_voter_set(&voter_set, commands),
+            Message::Subscribe { positions, stamp } => {
+                self.on_member_subscribe(name, &positions, stamp, commands);
             }
             // Forward a neighbour's renewal, if our own way to the controllers works.
-            Message::RenewLease { member, number: count, progress: far } => {
+            Message::RenewLease { member, number, progress } => {
                 if self.core_age(now) < RENEWAL_OVERDUE {
                     self.forwarded_renewals.insert(member.name.clone(), now);
                     self.counters.forwarded_renewals += 1;
-                    self.send_to_core(
-                        Message::RenewLease { member, number: count, progress: far },
-                        commands,
-                    );
+                    self.send_to_core(Message::RenewLease { member, number, progress }, commands);
                 }
             }
-            Message::LeafReports { partition, reports: words } => {
-                self.on_member_leaf_reports(now, partition, words);
+            Message::LeafReports { partition, reports } => {
+                self.on_member_leaf_reports(now, partition, reports);
             }
-            Message::LeaseGranted { name, incarnation, number: count, revision, .. }
+            Message::LeaseGranted { name, incarnation, number, revision, .. }
                 if name == self.member.name && incarnation == self.member.incarnation =>
             {
-                self.on_lease_granted(None, count, revision);
+                self.on_lease_granted(None, number, revision);
             }
             Message::SubstituteListPoller { name, incarnation, rank }
                 if name == self.member.name =>
