--- /dev/null
+++ b/crates/server/src/process_soak/checks.rs
@@ -0,0 +1,96 @@
+//! The rules by which a run is judged, each by its sentence in the users' pages. The numbers are
+//! those of the pages, and nothing here comes from the product.
+
+use crate::record::{Machine, Record, Run};
+
+/// A leaf gets no request later than this after the list shows that it leaves (ms).
+const DRAIN_MS: u64 = 3_000;
+/// A zone gets no request later than this after its evacuation was acknowledged (ms).
+const EVACUATE_MS: u64 = 5_000;
+/// A machine is in touch if nothing has disturbed it or the core for this long (ms).
+const CONTACT_MS: u64 = 4_000;
+
+/// All that breaks a rule, in plain words.
+pub fn judge(record: &Record) -> Vec<String> {
+    let mut violations = drain(record);
+    violations.extend(evacuations(record));
+    violations.extend(kept_orders(record));
+    violations.extend(record.wrong_answers.iter().map(|text| format!("MIXED: {text}")));
+    violations.extend(record.process_faults.iter().cloned());
+    violations
+}
+
+/// Whether the querier that sent a run was in touch throughout the time before.
+fn is_in_touch(record: &Record, run: &Run) -> bool {
+    let counts = |machine: Machine| match machine {
+        Machine::Querier(querier) => querier == run.querier,
+        Machine::Controller(_) => true,
+    };
+    !record.disturbances.iter().any(|disturbance| {
+        let until_ms = disturbance.until_ms.unwrap_or(u64::MAX);
+        counts(disturbance.machine)
+            && disturbance.from_ms <= run.at_ms
+            && run.at_ms <= until_ms.saturating_add(CONTACT_MS)
+    })
+}
+
+/// DRAIN: a request, sent on by a machine in touch, reaches a leaf too late after the list showed
+/// that it leaves.
+fn drain(record: &Record) -> Vec<String> {
+    let mut violations = Vec::new();
+    for leaving in &record.leaving {
+        let is_late =
+            |run: &&Run| run.leaf == leaving.leaf && run.at_ms > leaving.shown_ms + DRAIN_MS;
+        for run in record.runs.iter().filter(is_late).filter(|run| is_in_touch(record, run)) {
+            violations.push(format!(
+                "DRAIN: a request of querier {} runs at {} at {} ms, {} ms after the list showed it",
+                run.querier,
+                run.leaf,
+                run.at_ms,
+                run.at_ms - leaving.shown_ms
+            ));
+        }
+    }
+    violations
+}
+
+/// EVAC: a request from a machine in touch reaches a leaf in a zone too long after the zone's
+/// evacuation was acknowledged, and before it is taken back.
+fn evacuations(record: &Record) -> Vec<String> {
+    let mut violations = Vec::new();
+    for (number, order) in record.zone_orders.iter().enumerate() {
+        let (true, Some(acknowledged_ms)) = (order.drained, order.acknowledged_ms) else {
+            continue;
+        };
+        let later = record.zone_orders[number + 1..].iter().find(|next| next.zone == order.zone);
+        let ends_ms = later.map_or(u64::MAX, |next| next.sent_ms);
+        let is_wrong = |run: &&Run| {
+            run.zone == order.zone
+                && run.at_ms > acknowledged_ms + EVACUATE_MS
+                && run.at_ms < ends_ms
+        };
+        for run in record.runs.iter().filter(is_wrong).filter(|run| is_in_touch(record, run)) {
+            violations.push(format!(
+                "EVAC: a request of querier {} runs in zone {} at {} ms, acknowledged at {} ms",
+                run.querier, order.zone, run.at_ms, acknowledged_ms
+            ));
+        }
+    }
+    violations
+}
+
+/// LOST: the newest acknowledged order of a zone is not what is read at the end.
+fn kept_orders(record: &Record) -> Vec<String> {
+    let mut violations = Vec::new();
+    for (zone, is_drained) in &record.zones_at_end {
+        let Some(last) = record.zone_orders.iter().rev().find(|order| order.zone == *zone) else {
+            continue;
+        };
+        if last.acknowledged_ms.is_some() && last.drained != *is_drained {
+            let state = if *is_drained { "drained" } else { "open" };
+            violations
+                .push(format!("LOST: zone {zone} is {state} at the end, against its newest order"));
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/crates/server/src/process_soak/cluster_run.rs
@@ -0,0 +1,395 @@
+//! One run: starts a cluster, lets the schedule happen to it, and notes what is seen.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use grebepath_runtime::http::client::HttpClient;
+use grebepath_simulator::spec;
+use grebepath_simulator::spec::Spec;
+use hyper::Method;
+use serde_json::{Value, json};
+use testbed::callers::{Seen, load, report, watch_ready};
+use testbed::local_cluster;
+use testbed::local_cluster::process::Process;
+use testbed::local_cluster::{Layout, LocalCluster};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use crate::cli::Args;
+use crate::operator;
+use crate::operator::Order;
+use crate::record::{LeavingLeaf, Machine, Record, Run};
+use crate::schedule::{Action, ActionKind, Schedule};
+
+type Failure = Box<dyn std::error::Error>;
+
+/// The deployment that is played.
+const DEPLOYMENT: &str = "mohalla";
+/// Part of its load: what a machine with a few cores serves without strain.
+const LOAD: f64 = 0.15;
+/// Pause between two looks at the schedule and the processes.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time in which a cluster must be ready, at the start and once all faults are over.
+const READY: Duration = Duration::from_secs(15);
+/// Time for the last orders and runs.
+const SETTLE: Duration = Duration::from_secs(2);
+/// The services whose leafs leave: each has four, so that three may.
+const LEAVING_SERVICE: &str = "mohalla-notices-w48-";
+const LEAVING_SERVICES: u64 = 4;
+/// Leafs of a service that may leave (count).
+const LEAVING_MOST: usize = 2;
+
+/// A process that is to start again.
+struct Restart {
+    machine: Machine,
+    /// When; for one that was asked to stop, once it has ended.
+    at_ms: u64,
+}
+
+/// A process that goes on after standing still.
+struct Thaw {
+    machine: Machine,
+    at_ms: u64,
+}
+
+struct Driver {
+    cluster: LocalCluster,
+    record: Rc<RefCell<Record>>,
+    orders: UnboundedSender<Order>,
+    list_lag_ms: u64,
+    restarts: Vec<Restart>,
+    thaws: Vec<Thaw>,
+    left: usize,
+    kills_list: bool,
+}
+
+/// Plays one seed.
+pub async fn play(args: &Args, seed: u64, schedule: &Schedule) -> Result<Record, Failure> {
+    let layout = Layout {
+        bin: local_cluster::bin_dir(&std::env::current_exe()?),
+        dir: format!("{}/seed-{seed}", args.dir).into(),
+        deploy: args.deploy.clone().into(),
+        name: DEPLOYMENT.into(),
+        queriers: args.queriers,
+    };
+    let spec = spec::read(&format!("{}/{DEPLOYMENT}.standins.json", args.deploy))
+        .map_err(|error| error.to_string())?;
+    let cluster = LocalCluster::up(layout).await?;
+    if !all_ready(&cluster).await {
+        return Err("the cluster does not become ready".into());
+    }
+    let record = Rc::new(RefCell::new(Record::new()));
+    let (orders, given) = unbounded_channel();
+    let sends = args.broken.as_deref() != Some("unsent-evacuations");
+    let work = operator::work(cluster.doors.clone(), given, record.clone(), sends);
+    let operator = tokio::task::spawn_local(work);
+    let seen = Rc::new(RefCell::new(Seen::default()));
+    let until = Instant::now() + Duration::from_millis(args.length_ms());
+    let loads = start_load(&cluster, &spec, seed, &seen, until);
+    let mut driver = Driver {
+        cluster,
+        record: record.clone(),
+        orders,
+        list_lag_ms: spec.list_lag_ms,
+        restarts: Vec::new(),
+        thaws: Vec::new(),
+        left: 0,
+        kills_list: args.broken.as_deref() == Some("dead-list"),
+    };
+    driver.drive(&schedule.actions, until).await?;
+    for task in loads {
+        task.await?;
+    }
+    let cluster = driver.finish().await?;
+    operator.await?;
+    tokio::time::sleep(SETTLE).await;
+    let seen = seen.take();
+    read_end(&cluster, &record, &seen).await?;
+    let finished = std::mem::replace(&mut *record.borrow_mut(), Record::new());
+    Ok(finished)
+}
+
+async fn all_ready(cluster: &LocalCluster) -> bool {
+    for querier in 0..cluster.queriers.len() {
+        if !local_cluster::until(READY, || cluster.is_ready(querier)).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Callers call until a time.
+fn start_load(
+    cluster: &LocalCluster,
+    spec: &Spec,
+    seed: u64,
+    seen: &Rc<RefCell<Seen>>,
+    until: Instant,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let ready = Rc::new(RefCell::new(cluster.fronts.clone()));
+    let watch = watch_ready(HttpClient::new(2), cluster.fronts.clone(), ready.clone(), until);
+    tokio::task::spawn_local(watch);
+    // Kept connections are used until the process at their end is gone.
+    let http = HttpClient::new(128);
+    let kinds = spec.kinds.iter().zip(seed..);
+    kinds
+        .map(|(kind, seed)| {
+            let (http, ready, seen) = (http.clone(), ready.clone(), seen.clone());
+            tokio::task::spawn_local(load(http, kind.clone(), LOAD, ready, seen, seed, until))
+        })
+        .collect()
+}
+
+impl Driver {
+    fn process(&mut self, machine: Machine) -> &mut Process {
+        match machine {
+            Machine::Querier(number) => &mut self.cluster.queriers[number],
+            Machine::Controller(number) => &mut self.cluster.controllers[number],
+        }
+    }
+
+    /// Lets all actions happen, and processes start again.
+    async fn drive(&mut self, actions: &[Action], until: Instant) -> Result<(), Failure> {
+        let mut due = actions.iter();
+        let mut next = due.next();
+        while Instant::now() < until || next.is_some() || self.has_pending() {
+            let now = self.record.borrow().now_ms();
+            self.restart_due(now)?;
+            self.thaw_due(now)?;
+            while let Some(action) = next.filter(|action| action.at_ms <= now) {
+                self.act(action, now).await?;
+                next = due.next();
+            }
+            self.note_unexpected_ends();
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    fn has_pending(&self) -> bool {
+        !self.restarts.is_empty() || !self.thaws.is_empty()
+    }
+
+    /// Whether a machine is in the hands of an earlier action.
+    fn is_busy(&self, machine: Machine) -> bool {
+        self.restarts.iter().any(|restart| restart.machine == machine)
+            || self.thaws.iter().any(|thaw| thaw.machine == machine)
+    }
+
+    async fn act(&mut self, action: &Action, now: u64) -> Result<(), Failure> {
+        match action.kind {
+            ActionKind::StopQuerier(querier) => self.stop(Machine::Querier(querier), now),
+            ActionKind::StopController(controller) => {
+                self.stop(Machine::Controller(controller), now)
+            }
+            ActionKind::KillQuerier { querier, down_ms } => {
+                self.kill(Machine::Querier(querier), now + down_ms)
+            }
+            ActionKind::KillController { controller, down_ms } => {
+                self.kill(Machine::Controller(controller), now + down_ms)
+            }
+            ActionKind::FreezeQuerier { querier, for_ms } => {
+                self.freeze(Machine::Querier(querier), now + for_ms)
+            }
+            ActionKind::FreezeController { controller, for_ms } => {
+                self.freeze(Machine::Controller(controller), now + for_ms)
+            }
+            ActionKind::HangUpQuerier(querier) => self.hang_up(Machine::Querier(querier)),
+            ActionKind::Evacuate { zone, controller } => self.order(zone, true, controller),
+            ActionKind::TakeBack { zone, controller } => self.order(zone, false, controller),
+            ActionKind::LeafLeaves => self.leaf_leaves().await,
+            ActionKind::LeafRestarts => {
+                let service = format!("{LEAVING_SERVICE}0");
+                let order = json!({ "do": "restart", "service": service, "count": 1 });
+                self.cluster.order(order).await?;
+                Ok(())
+            }
+        }
+    }
+
+    fn begin(&mut self, machine: Machine, what: &str) -> bool {
+        if self.is_busy(machine) {
+            return false;
+        }
+        let mut record = self.record.borrow_mut();
+        record.note(format!("{machine:?}: {what}"));
+        record.disturb(machine);
+        true
+    }
+
+    fn stop(&mut self, machine: Machine, now: u64) -> Result<(), Failure> {
+        if self.begin(machine, "SIGTERM") {
+            self.process(machine).signal("TERM")?;
+            self.restarts.push(Restart { machine, at_ms: now });
+        }
+        Ok(())
+    }
+
+    fn kill(&mut self, machine: Machine, back_ms: u64) -> Result<(), Failure> {
+        if self.begin(machine, "SIGKILL") {
+            self.process(machine).kill();
+            self.restarts.push(Restart { machine, at_ms: back_ms });
+        }
+        Ok(())
+    }
+
+    fn freeze(&mut self, machine: Machine, back_ms: u64) -> Result<(), Failure> {
+        if self.begin(machine, "SIGSTOP") {
+            self.process(machine).signal("STOP")?;
+            self.thaws.push(Thaw { machine, at_ms: back_ms });
+        }
+        Ok(())
+    }
+
+    /// A SIGHUP disturbs nobody.
+    fn hang_up(&mut self, machine: Machine) -> Result<(), Failure> {
+        if !self.is_busy(machine) {
+            self.record.borrow_mut().note(format!("{machine:?}: SIGHUP"));
+            self.process(machine).signal("HUP")?;
+        }
+        Ok(())
+    }
+
+    fn order(&self, zone: &'static str, drained: bool, controller: usize) -> Result<(), Failure> {
+        Ok(self.orders.send(Order { zone, drained, controller })?)
+    }
+
+    /// A leaf leaves, and tells nobody: the platform's list alone shows it.
+    async fn leaf_leaves(&mut self) -> Result<(), Failure> {
+        let service_number = self.left as u64 % LEAVING_SERVICES;
+        if self.left >= LEAVING_SERVICES as usize * LEAVING_MOST {
+            return Ok(());
+        }
+        let service = format!("{LEAVING_SERVICE}{service_number}");
+        if self.kills_list {
+            self.cluster.order(json!({ "do": "list-dead" })).await?;
+        }
+        let state = self.cluster.ask_backends("/state").await?;
+        let leafs = state["leafs"].as_array().cloned().unwrap_or_default();
+        let stays = |leaf: &&Value| {
+            leaf["service"] == service.as_str() && leaf["alive"] == true && leaf["leaving"] == false
+        };
+        let Some(name) = leafs.iter().find(stays).and_then(|leaf| leaf["leaf"].as_str()) else {
+            return Ok(());
+        };
+        self.left += 1;
+        self.cluster.order(json!({ "do": "leave-unseen", "leaf": name })).await?;
+        let mut record = self.record.borrow_mut();
+        let shown_ms = record.now_ms() + self.list_lag_ms;
+        record.note(format!("{name} leaves; the list shows it from {shown_ms} ms on"));
+        record.leaving.push(LeavingLeaf { leaf: name.to_string(), shown_ms });
+        Ok(())
+    }
+
+    /// Starts what is due; one that was asked to stop must have ended.
+    fn restart_due(&mut self, now: u64) -> Result<(), Failure> {
+        let (due, waits): (Vec<Restart>, Vec<Restart>) =
+            std::mem::take(&mut self.restarts).into_iter().partition(|r| r.at_ms <= now);
+        self.restarts = waits;
+        for restart in due {
+            let process = self.process(restart.machine);
+            let runs = process.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)));
+            if runs {
+                self.restarts.push(restart);
+                continue;
+            }
+            process.child = None;
+            process.start()?;
+            let mut record = self.record.borrow_mut();
+            record.note(format!("{:?} has started again", restart.machine));
+            record.recover(restart.machine);
+        }
+        Ok(())
+    }
+
+    fn thaw_due(&mut self, now: u64) -> Result<(), Failure> {
+        let (due, waits): (Vec<Thaw>, Vec<Thaw>) =
+            std::mem::take(&mut self.thaws).into_iter().partition(|thaw| thaw.at_ms <= now);
+        self.thaws = waits;
+        for thaw in due {
+            self.process(thaw.machine).signal("CONT")?;
+            let mut record = self.record.borrow_mut();
+            record.note(format!("{:?} goes on", thaw.machine));
+            record.recover(thaw.machine);
+        }
+        Ok(())
+    }
+
+    /// A process that ends without having been asked to is a fault.
+    fn note_unexpected_ends(&mut self) {
+        let all = (0..self.cluster.queriers.len()).map(Machine::Querier);
+        let machines: Vec<Machine> =
+            all.chain((0..self.cluster.controllers.len()).map(Machine::Controller)).collect();
+        for machine in machines {
+            if self.is_busy(machine) {
+                continue;
+            }
+            let child = self.process(machine).child.as_mut();
+            if let Some(Ok(Some(status))) = child.map(std::process::Child::try_wait) {
+                let text = format!("{machine:?} ended by itself: {status}");
+                self.record.borrow_mut().process_faults.push(text);
+                self.restarts.push(Restart { machine, at_ms: 0 });
+            }
+        }
+    }
+
+    /// Ends the operator's work; gives the cluster once it is ready again.
+    async fn finish(self) -> Result<LocalCluster, Failure> {
+        let Driver { cluster, record, orders, .. } = self;
+        drop(orders);
+        if !all_ready(&cluster).await {
+            let text = "not all queriers are ready again after the last fault".to_string();
+            record.borrow_mut().process_faults.push(text);
+        }
+        Ok(cluster)
+    }
+}
+
+/// Reads what leafs ran, what callers saw and how zones stand.
+async fn read_end(
+    cluster: &LocalCluster,
+    record: &Rc<RefCell<Record>>,
+    seen: &Seen,
+) -> Result<(), Failure> {
+    let runs = cluster.ask_backends("/runs").await?;
+    let runs = runs.as_array().cloned().unwrap_or_default();
+    let state = cluster.ask_backends("/state").await?;
+    let config = read_config(cluster).await?;
+    let mut record = record.borrow_mut();
+    // The leafs' clock began before ours.
+    let offset_ms = state["now_ms"].as_u64().unwrap_or(0).saturating_sub(record.now_ms());
+    record.runs = runs.iter().filter_map(|run| parse_run(run, offset_ms)).collect();
+    let answers = report(seen, &runs);
+    let wrong = answers["first"].as_array().into_iter().flatten();
+    record.wrong_answers = wrong.map(Value::to_string).collect();
+    let zones = config["config"]["zones"].as_array().into_iter().flatten();
+    record.zones_at_end = zones
+        .filter_map(|zone| Some((zone["name"].as_str()?.to_string(), zone["state"] == "drained")))
+        .collect();
+    Ok(())
+}
+
+async fn read_config(cluster: &LocalCluster) -> Result<Value, Failure> {
+    for attempt in 0..3 * cluster.doors.len() {
+        let url = format!("http://{}/v1/config", cluster.doors[attempt % cluster.doors.len()]);
+        let read = local_cluster::request(&cluster.http, Method::GET, url, Vec::new(), &[]).await;
+        match read {
+            Ok((200, config)) => return Ok(config),
+            _ => tokio::time::sleep(Duration::from_millis(300)).await,
+        }
+    }
+    Err("the configuration can't be read at the end".into())
+}
+
+/// A line of the leafs' log: leaf, service, index version, zone, query, question, key, time. The
+/// name of a query begins with the name of the querier that sends it.
+fn parse_run(run: &Value, offset_ms: u64) -> Option<Run> {
+    let sender = run[4].as_str()?.strip_prefix('q')?;
+    let (querier, _) = sender.split_once('-')?;
+    Some(Run {
+        leaf: run[0].as_str()?.to_string(),
+        zone: run[3].as_str()?.to_string(),
+        querier: querier.parse().ok()?,
+        at_ms: run[7].as_u64()?.checked_sub(offset_ms)?,
+    })
+}
--- /dev/null
+++ b/crates/server/src/process_soak/main.rs
@@ -0,0 +1,82 @@
+//! Real processes under drawn faults, judged from outside: what leafs, callers, operators and the
+//! platform's list have seen. Each run follows from its seed but for the timing of the machine.
+
+mod checks;
+mod cli;
+mod cluster_run;
+mod operator;
+mod record;
+mod schedule;
+
+use std::path::Path;
+
+use serde_json::{Value, json};
+
+use crate::cli::Args;
+use crate::record::Record;
+use crate::schedule::Schedule;
+
+fn main() {
+    let args = cli::read();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error.to_string()),
+    };
+    let local = tokio::task::LocalSet::new();
+    match local.block_on(&runtime, soak(&args)) {
+        Ok(0) => {}
+        Ok(_) => std::process::exit(1),
+        Err(error) => fail(&error.to_string()),
+    }
+}
+
+fn fail(text: &str) {
+    eprintln!("process-soak: {text}");
+    std::process::exit(2);
+}
+
+/// Plays all seeds; gives how many broke a rule.
+async fn soak(args: &Args) -> Result<usize, Box<dyn std::error::Error>> {
+    let (mut broken, mut report) = (0, Vec::new());
+    for seed in args.seed..args.seed + args.seeds {
+        let schedule = Schedule::draw(seed, args.queriers, args.length_ms());
+        let record = cluster_run::play(args, seed, &schedule).await?;
+        let violations = checks::judge(&record);
+        println!(
+            "seed {seed}: {} actions, {} runs judged, {} of leafs shown as leaving, {} evacuations, {}",
+            schedule.actions.len(),
+            record.runs.len(),
+            record.leaving.len(),
+            record.zone_orders.iter().filter(|order| order.drained).count(),
+            if violations.is_empty() {
+                "held".into()
+            } else {
+                format!("{} BROKEN", violations.len())
+            },
+        );
+        if !violations.is_empty() {
+            broken += 1;
+            explain(&schedule, &record, &violations);
+        }
+        report.push(json!({ "seed": seed, "runs": record.runs.len(), "violations": violations }));
+    }
+    if let Some(path) = &args.json {
+        std::fs::write(Path::new(path), Value::Array(report).to_string())?;
+    }
+    Ok(broken)
+}
+
+/// Prints a failing seed's schedule, what happened in the order of time, and what broke.
+fn explain(schedule: &Schedule, record: &Record, violations: &[String]) {
+    println!("  schedule (what follows from it depends on the machine's timing):");
+    for action in &schedule.actions {
+        println!("    {:>6} ms  {:?}", action.at_ms, action.kind);
+    }
+    println!("  events:");
+    for event in &record.events {
+        println!("    {:>6} ms  {}", event.at_ms, event.text);
+    }
+    for text in violations.iter().take(10) {
+        println!("  BROKEN {text}");
+    }
+}
--- /dev/null
+++ b/crates/server/src/process_soak/schedule.rs
@@ -0,0 +1,169 @@
+//! Draws what happens in a run from its seed.
+
+use grebepath_core::random::Random;
+
+/// Controllers of the cluster (count).
+pub const CONTROLLERS: usize = 3;
+/// The zones of the cluster.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+/// The first action comes at this time (ms), and the last one this long before the end.
+const MARGIN_MS: u64 = 2_000;
+/// Time between two disturbances of the core (ms): one machine is lost at a time, it is caught up
+/// with by then, and queriers are in touch for a while.
+const CORE_PERIOD_MS: u64 = 14_000;
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum ActionKind {
+    /// A process gets SIGTERM, and starts again once it has ended.
+    StopQuerier(usize),
+    /// A querier is killed, and starts again later.
+    KillQuerier { querier: usize, down_ms: u64 },
+    /// A querier stands still.
+    FreezeQuerier { querier: usize, for_ms: u64 },
+    /// A querier gets SIGHUP.
+    HangUpQuerier(usize),
+    /// A controller gets SIGTERM, and starts again once it has ended.
+    StopController(usize),
+    /// A controller is killed, and starts again later.
+    KillController { controller: usize, down_ms: u64 },
+    /// A controller stands still.
+    FreezeController { controller: usize, for_ms: u64 },
+    /// A leaf leaves; only the platform's list shows it.
+    LeafLeaves,
+    /// Leafs restart under new names.
+    LeafRestarts,
+    /// The operator drains a zone; the order goes to this controller first.
+    Evacuate { zone: &'static str, controller: usize },
+    /// The operator takes an evacuation back.
+    TakeBack { zone: &'static str, controller: usize },
+}
+
+/// An action at its time.
+#[derive(Clone, Debug)]
+pub struct Action {
+    /// When, since the run began.
+    pub at_ms: u64,
+    /// What.
+    pub kind: ActionKind,
+}
+
+/// What happens in a run, in the order of time.
+pub struct Schedule {
+    /// All actions.
+    pub actions: Vec<Action>,
+}
+
+impl Schedule {
+    /// Draws a schedule.
+    pub fn draw(seed: u64, queriers: usize, length_ms: u64) -> Schedule {
+        let mut draw = Draw { random: Random::new(seed), queriers, length_ms, actions: Vec::new() };
+        for _ in 0..1 + length_ms / 10_000 {
+            draw.disturb_queriers();
+        }
+        draw.disturb_core();
+        draw.move_leafs();
+        draw.give_orders();
+        draw.actions.sort_by_key(|action| action.at_ms);
+        Schedule { actions: draw.actions }
+    }
+}
+
+struct Draw {
+    random: Random,
+    queriers: usize,
+    length_ms: u64,
+    actions: Vec<Action>,
+}
+
+impl Draw {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.random.below(bound.max(1))
+    }
+
+    /// A time at which something may begin.
+    fn moment(&mut self) -> u64 {
+        let span = self.length_ms.saturating_sub(2 * MARGIN_MS);
+        MARGIN_MS + self.below(span)
+    }
+
+    fn add(&mut self, at_ms: u64, kind: ActionKind) {
+        self.actions.push(Action { at_ms, kind });
+    }
+
+    /// Up to all queriers but one, in an order of chance.
+    fn some_queriers(&mut self) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.queriers).collect();
+        for last in (1..all.len()).rev() {
+            let other = self.below(last as u64 + 1) as usize;
+            all.swap(last, other);
+        }
+        let most = self.queriers.saturating_sub(1).max(1) as u64;
+        all.truncate(1 + self.below(most) as usize);
+        all
+    }
+
+    /// A rolling restart, a loss of several at once, or several that stand still.
+    fn disturb_queriers(&mut self) {
+        let (from, gap_ms) = (self.moment(), 200 + self.below(1_300));
+        let chosen = self.some_queriers();
+        let (kind, down_ms) = (self.below(4), 1_000 + self.below(4_000));
+        for (turn, querier) in chosen.into_iter().enumerate() {
+            match kind {
+                0 => self.add(from + turn as u64 * gap_ms, ActionKind::StopQuerier(querier)),
+                1 => self.add(from, ActionKind::KillQuerier { querier, down_ms }),
+                2 => self.add(from, ActionKind::FreezeQuerier { querier, for_ms: down_ms }),
+                _ => self.add(from + turn as u64 * gap_ms, ActionKind::HangUpQuerier(querier)),
+            }
+        }
+    }
+
+    /// One controller at a time.
+    fn disturb_core(&mut self) {
+        let mut at_ms = MARGIN_MS + self.below(CORE_PERIOD_MS);
+        while at_ms + MARGIN_MS < self.length_ms {
+            let controller = self.below(CONTROLLERS as u64) as usize;
+            let for_ms = 500 + self.below(4_500);
+            let kind = match self.below(3) {
+                0 => ActionKind::StopController(controller),
+                1 => ActionKind::KillController { controller, down_ms: for_ms },
+                _ => ActionKind::FreezeController { controller, for_ms },
+            };
+            self.add(at_ms, kind);
+            at_ms += CORE_PERIOD_MS;
+        }
+    }
+
+    /// Leafs leave and restart, some of them just before queriers are disturbed.
+    fn move_leafs(&mut self) {
+        let disturbed: Vec<u64> = self.actions.iter().map(|action| action.at_ms).collect();
+        for _ in 0..1 + self.length_ms / 6_000 {
+            let near = disturbed[self.random.below(disturbed.len() as u64) as usize];
+            let at_ms = (near + 600).saturating_sub(self.below(2_600)).max(MARGIN_MS);
+            self.add(at_ms, ActionKind::LeafLeaves);
+        }
+        let at_ms = self.moment();
+        self.add(at_ms, ActionKind::LeafRestarts);
+    }
+
+    /// Evacuations that are given and taken back, some of them to a controller that stands still.
+    fn give_orders(&mut self) {
+        let zone = ZONES[self.below(ZONES.len() as u64) as usize];
+        let frozen = self.actions.iter().find_map(|action| match action.kind {
+            ActionKind::FreezeController { controller, .. } => Some((action.at_ms, controller)),
+            _ => None,
+        });
+        let any = self.below(CONTROLLERS as u64) as usize;
+        let begin = self.moment() / 2 + MARGIN_MS;
+        self.add(begin, ActionKind::Evacuate { zone, controller: any });
+        let (at_ms, controller) = match frozen {
+            Some((at_ms, controller)) if at_ms > begin => (at_ms + 100, controller),
+            _ => (begin + 4_000, any),
+        };
+        self.add(at_ms, ActionKind::TakeBack { zone, controller });
+        self.add(
+            at_ms + 1,
+            ActionKind::Evacuate { zone, controller: (controller + 1) % CONTROLLERS },
+        );
+    }
+}
--- a/crates/server/src/testbed/control_listener.rs
+++ b/crates/server/src/testbed/control_listener.rs
@@ -182,9 +182,10 @@
         "wrong-cut" => Mode::WrongCut,
         "overlong" => Mode::Overlong,
         "unrun" => Mode::Unrun,
-        "leave" => {
+        "leave" | "leave-unseen" => {
             let mut l = leaf.borrow_mut();
             l.leaving = true;
+            l.tells_leaving = order == "leave";
             l.left_at = Some(Instant::now());
             return Ok(json!(l.name));
         }
--- a/crates/server/src/testbed/mock_backends/leaf.rs
+++ b/crates/server/src/testbed/mock_backends/leaf.rs
@@ -39,6 +39,8 @@
     pub zone: String,
     pub mode: Mode,
     pub leaving: bool,
+    /// Whether it tells who asks it that it leaves; the list shows it in any case.
+    pub tells_leaving: bool,
     pub born: Instant,
     pub live: u32,
     /// Most dispatches it had at once over what it could bear then, in
--- a/crates/server/src/testbed/mock_backends/leaf_server.rs
+++ b/crates/server/src/testbed/mock_backends/leaf_server.rs
@@ -204,7 +204,7 @@
         .status(code)
         .header(edge::BUSY, format!("{busy:.2}"))
         .header(edge::LEAF_AGE, l.born.elapsed().as_millis().to_string());
-    if l.leaving {
+    if l.leaving && l.tells_leaving {
         out = out.header(edge::LEAF_STATE, "leaving");
     }
     out
--- a/crates/server/src/testbed/mock_backends/mod.rs
+++ b/crates/server/src/testbed/mock_backends/mod.rs
@@ -127,6 +127,7 @@
         zone: zone.to_string(),
         mode: Mode::Good,
         leaving: false,
+        tells_leaving: true,
         born: now.checked_sub(age).unwrap_or(now),
         live: 0,
         worst_pct: 0,
--- /dev/null
+++ b/crates/server/tests/process_soak.rs
@@ -0,0 +1,51 @@
+//! Short drawn runs of real processes, and stand-ins that are broken on purpose, which the
+//! checks of the soak must catch.
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod common;
+
+use std::process::{Command, Output};
+
+use common::layout;
+use googletest::prelude::*;
+
+/// The seed that is played, and for how long (s).
+const SEED: &str = "1";
+const LENGTH: &str = "25";
+
+/// Plays the seed, with stand-ins that are broken in this way.
+fn soak(test: &str, broken: Option<&str>) -> Output {
+    let layout = layout(test, "mohalla", 0);
+    let mut command = Command::new(layout.bin.join("process-soak"));
+    command.args(["--seed", SEED, "--length", LENGTH, "--dir"]).arg(&layout.dir);
+    command.arg("--deploy").arg(&layout.deploy);
+    if let Some(variant) = broken {
+        command.args(["--broken", variant]);
+    }
+    command.output().expect("the program is built with the tests")
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[gtest]
+fn drawn_faults_of_real_processes_break_no_rule() {
+    let output = soak("soak-held", None);
+    expect_that!(output.status.code(), some(eq(0)), "{}", text(&output));
+    expect_that!(text(&output), contains_substring("held"));
+}
+
+#[gtest]
+fn a_list_that_is_not_read_is_caught() {
+    let output = soak("soak-list", Some("dead-list"));
+    expect_that!(output.status.code(), some(eq(1)), "{}", text(&output));
+    expect_that!(text(&output), contains_substring("BROKEN DRAIN"));
+}
+
+#[gtest]
+fn an_evacuation_that_is_not_obeyed_is_caught() {
+    let output = soak("soak-zones", Some("unsent-evacuations"));
+    expect_that!(output.status.code(), some(eq(1)), "{}", text(&output));
+    expect_that!(text(&output), contains_substring("BROKEN EVAC"));
+}
