--- a/crates/server/src/process_soak/checks.rs
+++ b/crates/server/src/process_soak/checks.rs
@@ -5,15 +5,15 @@
 
 /// A leaf gets no request later than this after the list shows that it leaves (ms).
 const DRAIN_MS: u64 = 3_000;
-/// A zone gets no request later than this after its evacuation was acknowledged (ms).
-const EVACUATE_MS: u64 = 5_000;
+/// A zone gets no request later than this after the order to drain it was acknowledged (ms).
+const ZONE_DRAIN_MS: u64 = 5_000;
 /// A machine is in touch if nothing has disturbed it or the core for this long (ms).
 const CONTACT_MS: u64 = 4_000;
 
 /// All that breaks a rule, in plain words.
 pub fn judge(record: &Record) -> Vec<String> {
     let mut violations = drain(record);
-    violations.extend(evacuations(record));
+    violations.extend(drained_zones(record));
     violations.extend(kept_orders(record));
     violations.extend(record.wrong_answers.iter().map(|text| format!("MIXED: {text}")));
     violations.extend(record.process_faults.iter().cloned());
@@ -54,9 +54,9 @@
     violations
 }
 
-/// EVAC: a request from a machine in touch reaches a leaf in a zone too long after the zone's
-/// evacuation was acknowledged, and before it is taken back.
-fn evacuations(record: &Record) -> Vec<String> {
+/// EVAC: a request from a machine in touch reaches a leaf in a zone too long after the order to
+/// drain it was acknowledged, and before it is taken back.
+fn drained_zones(record: &Record) -> Vec<String> {
     let mut violations = Vec::new();
     for (number, order) in record.zone_orders.iter().enumerate() {
         let (true, Some(acknowledged_ms)) = (order.drained, order.acknowledged_ms) else {
@@ -66,7 +66,7 @@
         let ends_ms = later.map_or(u64::MAX, |next| next.sent_ms);
         let is_wrong = |run: &&Run| {
             run.zone == order.zone
-                && run.at_ms > acknowledged_ms + EVACUATE_MS
+                && run.at_ms > acknowledged_ms + ZONE_DRAIN_MS
                 && run.at_ms < ends_ms
         };
         for run in record.runs.iter().filter(is_wrong).filter(|run| is_in_touch(record, run)) {
--- a/crates/server/src/process_soak/cli.rs
+++ b/crates/server/src/process_soak/cli.rs
@@ -38,7 +38,7 @@
     let dir = long("dir").help("folder for data and logs").argument::<String>("DIR");
     let deploy = long("deploy").argument::<String>("DIR").fallback("deploy".into());
     let broken = long("broken")
-        .help("what the stand-ins do wrong: dead-list or unsent-evacuations")
+        .help("what the stand-ins do wrong: dead-list or unsent-drains")
         .argument::<String>("VARIANT")
         .optional();
     construct!(Args { seed, seeds, length, queriers, json, dir, deploy, broken })
--- a/crates/server/src/process_soak/cluster_run.rs
+++ b/crates/server/src/process_soak/cluster_run.rs
@@ -80,7 +80,7 @@
     }
     let record = Rc::new(RefCell::new(Record::new()));
     let (orders, given) = unbounded_channel();
-    let sends = args.broken.as_deref() != Some("unsent-evacuations");
+    let sends = args.broken.as_deref() != Some("unsent-drains");
     let work = operator::work(cluster.doors.clone(), given, record.clone(), sends);
     let operator = tokio::task::spawn_local(work);
     let seen = Rc::new(RefCell::new(Seen::default()));
@@ -195,7 +195,7 @@
                 self.freeze(Machine::Controller(controller), now + for_ms)
             }
             ActionKind::HangUpQuerier(querier) => self.hang_up(Machine::Querier(querier)),
-            ActionKind::Evacuate { zone, controller } => self.order(zone, true, controller),
+            ActionKind::DrainZone { zone, controller } => self.order(zone, true, controller),
             ActionKind::TakeBack { zone, controller } => self.order(zone, false, controller),
             ActionKind::LeafLeaves => self.leaf_leaves().await,
             ActionKind::LeafRestarts => {
--- a/crates/server/src/process_soak/main.rs
+++ b/crates/server/src/process_soak/main.rs
@@ -43,7 +43,7 @@
         let record = cluster_run::play(args, seed, &schedule).await?;
         let violations = checks::judge(&record);
         println!(
-            "seed {seed}: {} actions, {} runs judged, {} of leafs shown as leaving, {} evacuations, {}",
+            "seed {seed}: {} actions, {} runs judged, {} of leafs shown as leaving, {} zones drained, {}",
             schedule.actions.len(),
             record.runs.len(),
             record.leaving.len(),
--- a/crates/server/src/process_soak/operator.rs
+++ b/crates/server/src/process_soak/operator.rs
@@ -36,12 +36,12 @@
     controllers: Vec<SocketAddr>,
     mut orders: UnboundedReceiver<Order>,
     record: Rc<RefCell<Record>>,
-    sends_evacuations: bool,
+    sends_drains: bool,
 ) {
     let http = HttpClient::new(4);
     while let Some(order) = orders.recv().await {
         let at = begin(&record, &order);
-        let is_sent = sends_evacuations || !order.drained;
+        let is_sent = sends_drains || !order.drained;
         if !is_sent || give(&http, &controllers, &order).await {
             let mut record = record.borrow_mut();
             record.zone_orders[at].acknowledged_ms = Some(record.now_ms());
--- a/crates/server/src/process_soak/schedule.rs
+++ b/crates/server/src/process_soak/schedule.rs
@@ -34,8 +34,8 @@
     /// Leafs restart under new names.
     LeafRestarts,
     /// The operator drains a zone; the order goes to this controller first.
-    Evacuate { zone: &'static str, controller: usize },
-    /// The operator takes an evacuation back.
+    DrainZone { zone: &'static str, controller: usize },
+    /// The operator opens the zone again.
     TakeBack { zone: &'static str, controller: usize },
 }
 
@@ -146,7 +146,7 @@
         self.add(at_ms, ActionKind::LeafRestarts);
     }
 
-    /// Evacuations that are given and taken back, some of them to a controller that stands still.
+    /// Orders to drain a zone that are given and taken back, some of them to a controller that stands still.
     fn give_orders(&mut self) {
         let zone = ZONES[self.below(ZONES.len() as u64) as usize];
         let frozen = self.actions.iter().find_map(|action| match action.kind {
@@ -155,7 +155,7 @@
         });
         let any = self.below(CONTROLLERS as u64) as usize;
         let begin = self.moment() / 2 + MARGIN_MS;
-        self.add(begin, ActionKind::Evacuate { zone, controller: any });
+        self.add(begin, ActionKind::DrainZone { zone, controller: any });
         let (at_ms, controller) = match frozen {
             Some((at_ms, controller)) if at_ms > begin => (at_ms + 100, controller),
             _ => (begin + 4_000, any),
@@ -163,7 +163,7 @@
         self.add(at_ms, ActionKind::TakeBack { zone, controller });
         self.add(
             at_ms + 1,
-            ActionKind::Evacuate { zone, controller: (controller + 1) % CONTROLLERS },
+            ActionKind::DrainZone { zone, controller: (controller + 1) % CONTROLLERS },
         );
     }
 }
--- a/crates/server/tests/oncall.rs
+++ b/crates/server/tests/oncall.rs
@@ -9,7 +9,8 @@
 use googletest::prelude::*;
 
 /// Folders of the tools: what they print is not an alarm of a daemon.
-const TOOLS: [&str; 5] = ["grebectl", "local_cluster", "mock_backends", "simulator", "testbed"];
+const TOOLS: [&str; 6] =
+    ["grebectl", "local_cluster", "mock_backends", "process_soak", "simulator", "testbed"];
 
 /// What begins a line of level warn or above, or makes the text of one.
 const MARKERS: [&str; 4] = ["Alarm(", "warn!(", "error!(", "eprintln!("];
--- a/crates/server/tests/process_soak.rs
+++ b/crates/server/tests/process_soak.rs
@@ -44,8 +44,8 @@
 }
 
 #[gtest]
-fn an_evacuation_that_is_not_obeyed_is_caught() {
-    let output = soak("soak-zones", Some("unsent-evacuations"));
+fn a_drained_zone_that_is_not_obeyed_is_caught() {
+    let output = soak("soak-zones", Some("unsent-drains"));
     expect_that!(output.status.code(), some(eq(1)), "{}", text(&output));
     expect_that!(text(&output), contains_substring("BROKEN EVAC"));
 }
--- a/crates/server/tests/stale_orders.rs
+++ b/crates/server/tests/stale_orders.rs
@@ -66,7 +66,7 @@
 
 #[googletest::test]
 fn an_order_that_lay_in_the_socket_of_a_frozen_controller_is_not_carried_out_late() {
-    // Guards against a taken-back evacuation that a frozen controller takes back once more.
+    // Guards against a drained zone that a frozen controller takes back once more.
     block(async {
         let cluster = LocalCluster::up(layout("stale-orders", "mohalla", 1)).await.unwrap();
         let freezes = [(1_300, 1), (2_500, 0), (2_500, 1), (4_500, 0), (4_500, 1), (6_000, 1)];
