Ask a restarted controller by a new connection in the test of a full disk

Cause, from the error and the code: the cluster's client still holds a connection to the killed process at the same address, from config_leader, and its end is only noticed when the client's task runs, which start() holds up. No other process or path was involved; what the controller must answer is asked as before, by a client without connections.

--- a/crates/server/tests/disk_faults.rs
+++ b/crates/server/tests/disk_faults.rs
@@ -8,6 +8,7 @@
 
 use googletest::prelude::*;
 use grebepath_core::storage::reader::{StoredReplica, read};
+use grebepath_runtime::http::client::HttpClient;
 use serde_json::json;
 use testbed::local_cluster;
 use testbed::local_cluster::LocalCluster;
@@ -74,11 +75,13 @@
         expect_that!(line, contains_substring("can't write"));
         expect_that!(line, contains_substring("seats.new"));
         let door = f.doors[seat];
+        // The cluster's client may still hold a connection to the process that was killed.
+        let http = HttpClient::new(1);
         for path in ["readyz", "v1/status", "v1/config"] {
             let request = hyper::Request::get(format!("http://{door}/{path}"))
                 .body(http_body_util::Full::default())
                 .unwrap();
-            let response = f.http.call_within(request, 1 << 16, LONG).await.unwrap();
+            let response = http.call_within(request, 1 << 16, LONG).await.unwrap();
             expect_that!(response.status().as_u16(), eq(503), "{path}");
             expect_that!(response.headers().contains_key("retry-after"), eq(true));
             let text = String::from_utf8_lossy(response.body()).to_string();
