Redirect orders without id and base, and carry them out on the revision told

Cause: an order without id and base can't be told from a new one, and was carried out however late it came. The watch for a process that stood still saw one way of coming late, by a guess at times.

Change: no controller carries such an order out (core, `Request::is_unconditional`). Its sender gets 307 to a location with an id and the revision that stands; what comes there is carried out once, unless another change was accepted since. The watch is gone.

Why it works: who follows still waited after the revision was read; what it orders elsewhere later makes another revision, on which the leader refuses the copy, by whatever way it comes. No time is in the argument.

The clients of foreign.rs, of one test of rival_operators.rs and of process-soak follow redirections, as the users' pages say; their checks are as they were.

--- a/crates/core/src/control_plane/operation_forwarding.rs
+++ b/crates/core/src/control_plane/operation_forwarding.rs
@@ -39,6 +39,12 @@
         request: Request,
         commands: &mut Vec<Command>,
     ) {
+        // Without a voter slot we hold no revision: the leader tells it.
+        if request.is_unconditional() && self.slot != NOBODY {
+            let revision = self.partitions[0].committed_revision;
+            return commands
+                .push(Command::Respond { op, done: OperationResult::Conflict { revision } });
+        }
         let until = now + consts::OPERATE_PATIENCE;
         self.pending_requests.insert(op, PendingRequest::new(request, until));
         self.forward(now, op, commands);
--- a/crates/core/src/control_plane/operations.rs
+++ b/crates/core/src/control_plane/operations.rs
@@ -28,6 +28,16 @@
     pub operation: Operation,
 }
 
+impl Request {
+    /// Whether nothing tells a copy of it that comes late from a new request: it changes the
+    /// configuration, and has neither an id nor a revision that it builds on. Its sender may
+    /// have sent others since, so no leader carries it out; it is told which revision stands.
+    pub fn is_unconditional(&self) -> bool {
+        let changes = self.operation.changes_configuration();
+        changes && self.id.is_empty() && self.expected_revision.is_none()
+    }
+}
+
 /// Rejects a request if too many wait at the leader; tells whether it did.
 pub fn reject_if_full(
     configuration: &Partition,
@@ -107,6 +117,9 @@
 
 /// Judges a change by our newest state.
 fn judge(p: &Partition, request: &Request, whole: bool, text: &[u8]) -> Judged {
+    if request.is_unconditional() {
+        return Judged::Refused(OperationResult::Conflict { revision: p.state.revision });
+    }
     let map = &p.state.entries;
     let order = order_memory::fingerprint(&request.id, whole, text);
     match order_memory::recall(map, &request.id, &order) {
--- a/crates/core/src/protocol/operation.rs
+++ b/crates/core/src/protocol/operation.rs
@@ -21,6 +21,13 @@
     ForgetMember(String),
 }
 
+impl Operation {
+    /// Whether it changes the configuration.
+    pub fn changes_configuration(&self) -> bool {
+        matches!(self, Operation::Replace(_) | Operation::Patch(_))
+    }
+}
+
 /// What came of an operation.
 #[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
 pub enum OperationResult {
--- a/crates/core/tests/common/cluster.rs
+++ b/crates/core/tests/common/cluster.rs
@@ -207,6 +207,11 @@
     }
 }
 
+/// Holds what one controller sends to another from now on: it all arrives after this time.
+pub fn hold(cluster: &mut Cluster, from: usize, to: usize, span: Span) {
+    cluster.last_arrival.insert((from, to), cluster.now + span);
+}
+
 /// A disk that takes so long for each write, one after the other.
 pub fn slow_disk(cluster: &mut Cluster, node: usize, span: Span) {
     cluster.nodes[node].write_span = span;
@@ -457,6 +462,25 @@
     operation
 }
 
+/// The same, on a revision that it expects to change.
+pub fn ask_on(
+    cluster: &mut Cluster,
+    node: usize,
+    request: &str,
+    base: u64,
+    deed: Operation,
+) -> u64 {
+    let operation = number(cluster);
+    let event = Event::Operate {
+        op: operation,
+        request: request.to_string(),
+        expected_revision: Some(base),
+        operation: deed,
+    };
+    take(cluster, node, event);
+    operation
+}
+
 /// An operator's request waits in the socket of a controller that is paused.
 pub fn ask_later(cluster: &mut Cluster, node: usize, request: &str, deed: Operation) -> u64 {
     let operation = number(cluster);
--- a/crates/runtime/src/http/server.rs
+++ b/crates/runtime/src/http/server.rs
@@ -6,6 +6,8 @@
 use std::task::{Context, Poll};
 
 use axum::Router;
+use axum::extract::connect_info::Connected;
+use axum::serve::IncomingStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -57,7 +59,24 @@
 ) -> std::io::Result<()> {
     let inner = tokio::net::TcpListener::from_std(listener)?;
     let listener = BoundedListener { inner, permits: Arc::new(Semaphore::new(connections)) };
-    axum::serve(listener, router).with_graceful_shutdown(stop).await
+    let service = router.into_make_service_with_connect_info::<PeerAddress>();
+    axum::serve(listener, service).with_graceful_shutdown(stop).await
+}
+
+/// Both ends of a connection that was accepted; handlers get it as `ConnectInfo`.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerAddress {
+    /// Where it comes from.
+    pub remote: SocketAddr,
+    /// The address that it was opened to.
+    pub local: SocketAddr,
+}
+
+impl Connected<IncomingStream<'_, BoundedListener>> for PeerAddress {
+    fn connect_info(stream: IncomingStream<'_, BoundedListener>) -> PeerAddress {
+        let remote = *stream.remote_addr();
+        PeerAddress { remote, local: stream.io().stream.local_addr().unwrap_or(remote) }
+    }
 }
 
 /// A listener that takes so many connections at once.
--- a/crates/server/src/controller/controller_thread.rs
+++ b/crates/server/src/controller/controller_thread.rs
@@ -7,7 +7,6 @@
 use grebepath_core::control_plane::controller::{ControllerState, Event};
 use grebepath_core::control_plane::step::WAKE;
 use grebepath_core::identifiers::PartitionId;
-use grebepath_core::protocol::operation::OperationResult;
 use grebepath_core::storage::voter_file::VoterFile;
 use grebepath_runtime::clock::{Clock, duration, nonce};
 use grebepath_runtime::peer_connection::accept;
@@ -18,7 +17,6 @@
 use crate::controller_io::ControllerIo;
 use crate::messages::{ControllerInput, DiskJob};
 use crate::settings::Settings;
-use crate::stall_watch::is_overdue;
 
 /// Times that the connections' tasks may run after the last command, to write what they
 /// hold.
@@ -137,18 +135,7 @@
     fn take(&mut self, input: ControllerInput) -> Option<Event> {
         match input {
             ControllerInput::Event(event) => Some(event),
-            ControllerInput::Operate {
-                request_id,
-                expected_revision,
-                operation,
-                must_be_fresh_since,
-                reply,
-            } => {
-                if must_be_fresh_since.is_some_and(is_overdue) {
-                    let why = "this controller has just stood still".into();
-                    let _ = reply.send(OperationResult::Rejected { why });
-                    return None;
-                }
+            ControllerInput::Operate { request_id, expected_revision, operation, reply } => {
                 let op = self.io.await_result(reply);
                 Some(Event::Operate { op, request: request_id, expected_revision, operation })
             }
--- a/crates/server/src/controller/main.rs
+++ b/crates/server/src/controller/main.rs
@@ -4,6 +4,7 @@
 //! Three threads: the main one drives the state machine ([`controller_thread`]), one
 //! writes files ([`disk_thread`]), one serves operators ([`operator_listener`]).
 
+mod confirmation;
 mod controller_io;
 mod controller_thread;
 mod disk_thread;
@@ -12,8 +13,9 @@
 mod messages;
 mod metrics;
 mod operator_listener;
+mod order;
+mod resubmissions;
 mod settings;
-mod stall_watch;
 mod startup;
 
 use std::io::Write;
--- a/crates/server/src/controller/messages.rs
+++ b/crates/server/src/controller/messages.rs
@@ -1,7 +1,5 @@
 //! What the controller's threads send to each other.
 
-use std::time::Instant;
-
 use grebepath_core::control_plane::controller::Event;
 use grebepath_core::identifiers::PartitionId;
 use grebepath_core::protocol::operation::{Operation, OperationResult};
@@ -16,14 +14,12 @@
     Event(Event),
     /// An operator's request.
     Operate {
-        /// The id under which the request may safely come again; empty if it only reads.
+        /// The id under which the request may safely come again; empty if it has none.
         request_id: String,
         /// The revision that a change builds on, if it says so.
         expected_revision: Option<u64>,
         /// What to do.
         operation: Operation,
-        /// When it was read, if one that is carried out late can't be told from a new one.
-        must_be_fresh_since: Option<Instant>,
         /// Takes the result; closed once the caller has gone.
         reply: oneshot::Sender<OperationResult>,
     },
--- a/crates/server/src/controller/operator_listener.rs
+++ b/crates/server/src/controller/operator_listener.rs
@@ -1,12 +1,13 @@
 //! The listener for operators: HTTP with JSON, on a thread of its own.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use axum::Router;
 use axum::body::Bytes;
 use axum::error_handling::HandleErrorLayer;
 use axum::extract::{DefaultBodyLimit, Request, State};
-use axum::http::{HeaderMap, StatusCode, header};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use grebepath_core::config::types::Config;
@@ -24,36 +25,16 @@
 use tower::ServiceBuilder;
 use tracing::error;
 
+use crate::confirmation::{Confirmation, Sender};
 use crate::messages::ControllerInput;
-use crate::stall_watch::StallWatch;
+use crate::order::Order;
+use crate::resubmissions::{OrderKey, Resubmissions};
 
 /// The way to the controller's thread.
 #[derive(Clone)]
 struct Controller {
     inputs: UnboundedSender<ControllerInput>,
-    stall_watch: StallWatch,
-}
-
-/// An operator's order as it was read.
-struct Order {
-    /// The id that it brought; a new one is made up if it brought none.
-    request_id: Option<String>,
-    /// The revision that it says it builds on.
-    expected_revision: Option<u64>,
-    operation: Operation,
-}
-
-impl Order {
-    /// A request that changes nothing.
-    fn question(operation: Operation) -> Order {
-        Order { request_id: Some(String::new()), expected_revision: None, operation }
-    }
-
-    /// Whether a copy of it that comes late can't be told from a new order: it has neither an
-    /// id of its own nor a base.
-    fn must_be_fresh(&self) -> bool {
-        self.request_id.is_none() && self.expected_revision.is_none()
-    }
+    resubmissions: Arc<Resubmissions>,
 }
 
 /// Serves operators until told to stop.
@@ -67,9 +48,7 @@
         Ok(runtime) => runtime,
         Err(e) => return error!("the operators' door can't be served: {e}"),
     };
-    let stall_watch = StallWatch::new();
-    runtime.spawn(stall_watch.clone().run());
-    let controller = Controller { inputs, stall_watch };
+    let controller = Controller { inputs, resubmissions: Arc::default() };
     let router = Router::new()
         .route(CONFIG, get(read_config).put(replace).patch(patch))
         .route(STATUS, get(status))
@@ -118,25 +97,15 @@
     let Ok(body) = axum::body::to_bytes(body, consts::CONFIG_LIMIT).await else {
         return answer(413, &json!({ "error": "the body can't be read, or is too large" }));
     };
-    let resp = match (api.read_operator_request)(&head, &body) {
-        OperatorRequest::Malformed(resp) => resp,
+    let sender = Sender::from_parts(&head);
+    match (api.read_operator_request)(&head, &body) {
+        OperatorRequest::Malformed(response) => response.map(axum::body::Body::from),
         OperatorRequest::Operation { operation, request_id } => {
-            let is_question = matches!(operation, Operation::Read);
-            let request_id = if is_question { Some(own_id()) } else { request_id };
             let order = Order { request_id, expected_revision: None, operation };
-            (api.write_operation_result)(operate(&controller, order).await)
+            let write = |result| (api.write_operation_result)(result).map(axum::body::Body::from);
+            submit(&controller, &sender, &body, order, write).await
         }
-    };
-    resp.map(axum::body::Body::from)
-}
-
-/// An id for a request that brought none.
-fn own_id() -> String {
-    format!(
-        "auto-{:016x}-{:016x}",
-        grebepath_runtime::clock::nonce(),
-        grebepath_runtime::clock::nonce()
-    )
+    }
 }
 
 fn answer(code: u16, body: &Value) -> Response {
@@ -162,19 +131,14 @@
     Ok((request, expect))
 }
 
+/// Has a request carried out, and gives its result.
 async fn operate(controller: &Controller, order: Order) -> OperationResult {
-    let has_just_stalled = controller.stall_watch.has_just_stalled();
-    let must_be_fresh = order.must_be_fresh();
-    if must_be_fresh && has_just_stalled {
-        return OperationResult::Rejected { why: "this controller has just stood still".into() };
-    }
     let Order { request_id, expected_revision, operation } = order;
     let (reply, result) = oneshot::channel();
     let input = ControllerInput::Operate {
-        request_id: request_id.unwrap_or_else(own_id),
+        request_id: request_id.unwrap_or_default(),
         expected_revision,
         operation,
-        must_be_fresh_since: must_be_fresh.then(Instant::now),
         reply,
     };
     if controller.inputs.send(input).is_err() {
@@ -183,6 +147,57 @@
     result.await.unwrap_or(OperationResult::Unknown { why: "this controller went down".into() })
 }
 
+/// Has an order carried out and writes its result, or asks its sender to confirm it.
+async fn submit(
+    controller: &Controller,
+    sender: &Sender,
+    body: &[u8],
+    order: Order,
+    write: impl Fn(OperationResult) -> Response,
+) -> Response {
+    if !order.needs_confirmation() {
+        return write(operate(controller, order.with_id()).await);
+    }
+    let key = OrderKey::new(sender, body);
+    let confirmation = match &sender.confirmation {
+        Some(confirmation) => {
+            controller.resubmissions.note_followed(&key);
+            Some(confirmation.clone())
+        }
+        None => controller.resubmissions.take(&key, Instant::now()),
+    };
+    let order = match &confirmation {
+        Some(confirmation) => order.confirmed_by(confirmation),
+        None => order,
+    };
+    let revision = match operate(controller, order).await {
+        OperationResult::Conflict { revision } => revision,
+        result => return write(result),
+    };
+    let next = match &confirmation {
+        Some(confirmation) => confirmation.next(revision),
+        None => Some(Confirmation::first(revision)),
+    };
+    let Some(next) = next else {
+        let why = "the configuration changes all the time".into();
+        return write(OperationResult::Rejected { why });
+    };
+    controller.resubmissions.note_asked(key, &next, Instant::now());
+    ask_to_confirm(&next, sender)
+}
+
+/// The redirection that asks the sender of an order to confirm it.
+fn ask_to_confirm(confirmation: &Confirmation, sender: &Sender) -> Response {
+    let text = "it has no id and names nothing that it builds on: confirm it at the location";
+    let revision = confirmation.revision;
+    let body = json!({ "error": "unconfirmed", "text": text, "revision": revision });
+    let mut response = answer(StatusCode::TEMPORARY_REDIRECT.as_u16(), &body);
+    if let Ok(location) = HeaderValue::from_str(&confirmation.location(sender)) {
+        response.headers_mut().insert(header::LOCATION, location);
+    }
+    response
+}
+
 async fn read_config(State(controller): State<Controller>) -> Response {
     match operate(&controller, Order::question(Operation::Read)).await {
         OperationResult::Configuration { revision, entries: map } => {
@@ -214,20 +229,28 @@
 
 async fn replace(
     State(controller): State<Controller>,
+    sender: Sender,
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    change_config(controller, headers, Operation::Replace(body.to_vec())).await
+    change_config(controller, sender, headers, Operation::Replace(body.to_vec()), &body).await
 }
 
-async fn patch(State(controller): State<Controller>, headers: HeaderMap, body: Bytes) -> Response {
-    change_config(controller, headers, Operation::Patch(body.to_vec())).await
+async fn patch(
+    State(controller): State<Controller>,
+    sender: Sender,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    change_config(controller, sender, headers, Operation::Patch(body.to_vec()), &body).await
 }
 
 async fn change_config(
     controller: Controller,
+    sender: Sender,
     headers: HeaderMap,
     operation: Operation,
+    body: &[u8],
 ) -> Response {
     match request_headers(&headers) {
         Err(f) => {
@@ -235,7 +258,7 @@
         }
         Ok((request_id, expected_revision)) => {
             let order = Order { request_id, expected_revision, operation };
-            write_result(operate(&controller, order).await)
+            submit(&controller, &sender, body, order, write_result).await
         }
     }
 }
--- /dev/null
+++ b/crates/server/src/controller/order.rs
@@ -0,0 +1,64 @@
+//! An operator's order as the listener read it.
+
+use grebepath_core::config::types::{ChangeHeader, Config, Patch};
+use grebepath_core::protocol::operation::Operation;
+
+use crate::confirmation::Confirmation;
+
+/// An operator's order, or a question.
+pub struct Order {
+    /// The id that it brought.
+    pub request_id: Option<String>,
+    /// The revision that it says it builds on.
+    pub expected_revision: Option<u64>,
+    /// What is asked.
+    pub operation: Operation,
+}
+
+impl Order {
+    /// A request that needs no id.
+    pub fn question(operation: Operation) -> Order {
+        Order { request_id: None, expected_revision: None, operation }
+    }
+
+    /// Whether nothing tells a copy of it that comes late from a new order: it changes the
+    /// configuration, brings no id, and names no revision or edition. What can't be read needs
+    /// no confirmation, since it is not carried out.
+    pub fn needs_confirmation(&self) -> bool {
+        if self.request_id.is_some() || self.expected_revision.is_some() {
+            return false;
+        }
+        change_header(&self.operation)
+            .is_some_and(|header| header.after.is_none() && header.edition.is_none())
+    }
+
+    /// The same under an id of its own, if it changes the configuration and brought none.
+    pub fn with_id(mut self) -> Order {
+        if self.operation.changes_configuration() {
+            self.request_id.get_or_insert_with(new_request_id);
+        }
+        self
+    }
+
+    /// The same, as its sender confirmed it.
+    pub fn confirmed_by(mut self, confirmation: &Confirmation) -> Order {
+        self.request_id = Some(confirmation.request_id.clone());
+        self.expected_revision = Some(confirmation.revision);
+        self
+    }
+}
+
+/// What a change of the configuration says of itself, if it can be read.
+fn change_header(operation: &Operation) -> Option<ChangeHeader> {
+    match operation {
+        Operation::Replace(text) => Config::from_json(text).ok().map(|config| config.turn),
+        Operation::Patch(text) => Patch::from_json(text).ok().map(|patch| patch.set.turn),
+        Operation::Read | Operation::Status | Operation::ForgetMember(_) => None,
+    }
+}
+
+/// An id for an order that brought none.
+pub fn new_request_id() -> String {
+    let [first, second] = [grebepath_runtime::clock::nonce(), grebepath_runtime::clock::nonce()];
+    format!("auto-{first:016x}-{second:016x}")
+}
--- a/crates/server/src/process_soak/operator.rs
+++ b/crates/server/src/process_soak/operator.rs
@@ -5,11 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use grebepath_runtime::http::client::HttpClient;
-use http_body_util::Full;
-use hyper::Request;
+use hyper::Method;
 use serde_json::json;
+use testbed::redirects::FollowedRequest;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::record::{Record, ZoneOrder};
@@ -66,14 +65,12 @@
 async fn give(http: &HttpClient, controllers: &[SocketAddr], order: &Order) -> bool {
     let state = if order.drained { "drained" } else { "open" };
     let body = json!({ "zones": [{ "name": order.zone, "state": state }] }).to_string();
+    let request = FollowedRequest::new(Method::PATCH, "/v1/config", body);
     let mut pause = PAUSE;
     for attempt in 0..ATTEMPTS {
         let door = controllers[(order.controller + attempt) % controllers.len()];
-        let request = Request::patch(format!("http://{door}/v1/config"))
-            .body(Full::new(Bytes::from(body.clone())));
-        let Ok(request) = request else { return false };
         // A call that is given up closes its connection.
-        let answer = http.call_within(request, 1 << 16, SILENCE).await;
+        let answer = request.send(http, &door.to_string(), SILENCE).await;
         if answer.is_ok_and(|answer| answer.status() == 200) {
             return true;
         }
--- a/crates/server/src/testbed/mod.rs
+++ b/crates/server/src/testbed/mod.rs
@@ -7,6 +7,8 @@
 pub mod callers;
 pub mod control_listener;
 pub mod foreign;
+pub mod holding_relay;
 pub mod local_cluster;
 pub mod mock_backends;
+pub mod redirects;
 pub mod relay;
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the tests of real processes share.
 
+pub mod zone_orders;
+
 use std::path::PathBuf;
 use std::time::Duration;
 
--- a/crates/server/tests/foreign.rs
+++ b/crates/server/tests/foreign.rs
@@ -24,6 +24,7 @@
 use testbed::local_cluster::error::LocalClusterError;
 use testbed::local_cluster::process::Process;
 use testbed::local_cluster::until;
+use testbed::redirects::FollowedRequest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// How long anything may take that is only waited for.
@@ -161,7 +162,7 @@
 }
 
 /// Sends an order unchanged to one door after the other until it has a clear
-/// answer.
+/// answer. Redirections are followed, as the platform's operators do.
 async fn order(s: &Site, door: usize, method: &str, path: &str, after: u64, body: &Value) -> u16 {
     let text = if body.is_null() { String::new() } else { body.to_string() };
     let got = Rc::new(Cell::new(0));
@@ -169,15 +170,11 @@
     let clear = until(LONG, || {
         let door = s.doors[next.get() % s.doors.len()];
         next.set(next.get() + 1);
-        let req = Request::builder()
-            .method(method)
-            .uri(format!("http://{door}{path}"))
-            .header("if-match", after)
-            .body(Full::new(Bytes::from(text.clone())))
-            .unwrap();
+        let mut request = FollowedRequest::new(method.parse().unwrap(), path, text.clone());
+        request.heads.push(("if-match", after.to_string()));
         let got = got.clone();
         async move {
-            match s.http.call_within(req, 1 << 20, Duration::from_secs(4)).await {
+            match request.send(&s.http, &door.to_string(), Duration::from_secs(4)).await {
                 Ok(resp) => got.set(resp.status().as_u16()),
                 Err(_) => return false,
             }
--- a/crates/server/tests/rival_operators.rs
+++ b/crates/server/tests/rival_operators.rs
@@ -23,6 +23,7 @@
 use testbed::local_cluster::error::LocalClusterError;
 use testbed::local_cluster::process::Process;
 use testbed::local_cluster::until;
+use testbed::redirects::FollowedRequest;
 
 /// How long anything may take that is only waited for.
 const LONG: Duration = Duration::from_secs(30);
@@ -234,12 +235,11 @@
         expect_that!(patch(&a, "0").0, some(eq(0)));
         let mut others = Vec::new();
         for n in 0..3 {
-            let url = format!("http://{}/v1/config", core.doors[n]);
+            // Without an id: a caller that follows redirections.
             let body = json!({ "zones": [{ "name": format!("other-{n}"), "state": "open" }] });
-            let body = body.to_string().into_bytes();
-            others.push(
-                local_cluster::request(&core.http, Method::PATCH, url, body, &[]).await.unwrap().0,
-            );
+            let request = FollowedRequest::new(Method::PATCH, "/v1/config", body.to_string());
+            let sent = request.send(&core.http, &core.doors[n].to_string(), LONG).await;
+            others.push(sent.unwrap().status().as_u16());
         }
         expect_that!(others, each(eq(&200)));
         let (code, text) = patch(&a, "0");
--- a/crates/server/tests/stale_orders.rs
+++ b/crates/server/tests/stale_orders.rs
@@ -6,64 +6,14 @@
 #[allow(dead_code)] // Each test file uses a part of it.
 mod common;
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use common::zone_orders::{CALLER_PATIENCE, SETTLE, give, leader_first, send, zone_state};
 use common::{block, layout};
 use googletest::prelude::*;
-use hyper::Method;
-use serde_json::{Value, json};
-use testbed::local_cluster;
+use serde_json::json;
 use testbed::local_cluster::LocalCluster;
 
-/// Operators go on to another controller after a second of silence.
-const CALLER_PATIENCE: Duration = Duration::from_secs(1);
-/// How long anything may take that is only waited for.
-const LONG: Duration = Duration::from_secs(30);
-/// Time in which a late order would have been carried out.
-const SETTLE: Duration = Duration::from_millis(1_500);
-
-/// An order as it stands on the wire, without an id and without a base.
-fn order(state: &str) -> Vec<u8> {
-    let body = json!({ "zones": [{ "name": "a", "state": state }] }).to_string();
-    let length = body.len();
-    format!("PATCH /v1/config HTTP/1.1\r\nHost: c\r\nContent-Length: {length}\r\n\r\n{body}").into()
-}
-
-/// Sends an order and leaves it on its way.
-fn send(door: SocketAddr, state: &str) -> TcpStream {
-    let mut connection = TcpStream::connect(door).unwrap();
-    connection.write_all(&order(state)).unwrap();
-    connection
-}
-
-/// Gives an order to a controller until it is acknowledged.
-async fn give(cluster: &LocalCluster, door: SocketAddr, state: &str) {
-    let body = json!({ "zones": [{ "name": "a", "state": state }] }).to_string().into_bytes();
-    let acknowledged = || async {
-        let url = format!("http://{door}/v1/config");
-        let sent =
-            local_cluster::request(&cluster.http, Method::PATCH, url, body.clone(), &[]).await;
-        sent.is_ok_and(|(status, _)| status == 200)
-    };
-    assert!(local_cluster::until(LONG, acknowledged).await, "{state} was not acknowledged");
-}
-
-async fn zone_state(cluster: &LocalCluster) -> Value {
-    let url = format!("http://{}/v1/config", cluster.doors[0]);
-    let (_, value) =
-        local_cluster::request(&cluster.http, Method::GET, url, Vec::new(), &[]).await.unwrap();
-    let zones = value["config"]["zones"].as_array().cloned().unwrap_or_default();
-    zones.iter().find(|zone| zone["name"] == "a").map_or(Value::Null, |z| z["state"].clone())
-}
-
-/// The leader of the configuration, and the two others.
-async fn leader_first(cluster: &LocalCluster) -> [usize; 3] {
-    let leader = cluster.config_leader().await.unwrap();
-    [leader, (leader + 1) % 3, (leader + 2) % 3]
-}
-
 #[googletest::test]
 fn an_order_that_lay_in_the_socket_of_a_frozen_controller_is_not_carried_out_late() {
     // Guards against a drained zone that a frozen controller takes back once more.
@@ -76,7 +26,7 @@
             give(&cluster, cluster.doors[other], "drained").await;
             cluster.controllers[frozen].signal("STOP").unwrap();
             let freeze = tokio::time::sleep(Duration::from_millis(freeze_ms));
-            let stale = send(cluster.doors[frozen], "open");
+            let stale = send(cluster.doors[frozen], "open", 0);
             tokio::time::sleep(CALLER_PATIENCE).await;
             drop(stale);
             give(&cluster, cluster.doors[other], "open").await;
@@ -104,7 +54,7 @@
         }
         // The leader is known for a while after it fell silent.
         tokio::time::sleep(2 * CALLER_PATIENCE).await;
-        let left = send(cluster.doors[alone], "open");
+        let left = send(cluster.doors[alone], "open", 0);
         tokio::time::sleep(CALLER_PATIENCE).await;
         drop(left);
         tokio::time::sleep(CALLER_PATIENCE / 2).await;
