Test a held evacuation and a held take-back on the platform's interface

Both orders are sent through a relay that lets them go 3.5 s later, 100 ms before the end of the connection, after their sender has given both elsewhere.

--- a/crates/server/tests/foreign.rs
+++ b/crates/server/tests/foreign.rs
@@ -20,6 +20,7 @@
 use hyper::{Request, Response};
 use serde_json::{Value, json};
 use testbed::foreign::{self, Mode, Shared, begin, filled, leave, let_go, records, stamp};
+use testbed::holding_relay::{Hold, HoldingRelay};
 use testbed::local_cluster;
 use testbed::local_cluster::error::LocalClusterError;
 use testbed::local_cluster::process::Process;
@@ -29,6 +30,8 @@
 
 /// How long anything may take that is only waited for.
 const LONG: Duration = Duration::from_secs(30);
+/// How long a relay holds an order.
+const HOLD: Duration = Duration::from_millis(3_500);
 
 const LEAFS: [(&str, &str, &str); 8] = [
     ("i-a1", "srv-a", "z-1"),
@@ -412,6 +415,33 @@
     });
 }
 
+#[googletest::test]
+fn an_evacuation_and_a_take_back_that_a_relay_held_are_not_carried_out_late() {
+    // Guards against either order when its sender has given both elsewhere since.
+    block(async {
+        let s = begun("foreign-held").await;
+        for (held, later, runs_there) in [("DELETE", "POST", "z-1"), ("POST", "DELETE", "z-2")] {
+            expect_that!(order(&s, 1, later, "/api/evacuate/z-2", 0, &Value::Null).await, eq(200));
+            let hold =
+                Hold { bytes: HOLD, end_behind: Duration::from_millis(100), connects_early: true };
+            let relay = HoldingRelay::open(s.doors[0], hold).await.unwrap();
+            let mut left = tokio::net::TcpStream::connect(relay.address).await.unwrap();
+            let text = format!("{held} /api/evacuate/z-2 HTTP/1.1\r\nHost: c\r\n\r\n");
+            left.write_all(text.as_bytes()).await.unwrap();
+            let released = tokio::time::Instant::now() + HOLD;
+            drop(left);
+            for again in [held, later] {
+                let done = order(&s, 1, again, "/api/evacuate/z-2", 0, &Value::Null).await;
+                expect_that!(done, eq(200), "{again}");
+            }
+            assert!(tokio::time::Instant::now() < released, "the later orders took too long");
+            tokio::time::sleep_until(released + Duration::from_millis(1_500)).await;
+            // The second querier stands in z-2 and prefers its own leaf.
+            runs_in(&s, 1, runs_there, runs_there == "z-1").await;
+        }
+    });
+}
+
 #[googletest::test]
 fn a_leaf_that_the_list_says_leaves_gets_nothing_more() {
     block(async {
