Simulate operators without ids whose connections hold orders, and judge them by rule 14

Change: action `orders-without-id` (an operator empties and opens a zone in turn, goes on to another controller after a second of silence, follows redirections; one attempt of two is held up to 5 s on its way), action `hold-seat` (what a controller sends to others is held, forwarded orders too), rule 14 (the last acknowledged order of a sender stands until its next one), variant MakesUpRequestIds (what the listener did).

--- a/crates/simulator/src/net.rs
+++ b/crates/simulator/src/net.rs
@@ -101,6 +101,12 @@
         Some(*last)
     }
 
+    /// Holds what one node sends to another from now on: it all arrives after this moment.
+    pub fn hold(&mut self, from: Node, to: Node, until: Tick) {
+        let last = self.last_arrivals.entry((from, to)).or_insert(0);
+        *last = until.max(*last);
+    }
+
     /// Ends all faults of the net.
     pub fn heal(&mut self) {
         self.blocked.clear();
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -52,12 +52,25 @@
     pub retries: Vec<Tick>,
     /// (query, service) pairs that were dispatched: the next is a retry.
     pub attempted_services: HashSet<u64>,
+    /// By operator without ids: its zone's state by its last acknowledged order, and the order
+    /// that it waits for.
+    pub senders: BTreeMap<usize, SenderOrders>,
     /// Restarts after which service must recover.
     pub pending_restarts: Vec<RestartCheck>,
     /// Restarts that were judged, for the report.
     pub judged_restarts: Vec<RestartCheck>,
 }
 
+/// What one sender of orders about a zone has asked for and was told.
+pub struct SenderOrders {
+    /// The zone.
+    pub zone: String,
+    /// Whether the newest order empties the zone; else it opens it.
+    pub asked: bool,
+    /// What the last acknowledged order says, if no newer one is under way.
+    pub stands: Option<bool>,
+}
+
 /// A restart of everything, and the calls that began from 12 to 15 s after it:
 /// how many of each kind, and how many of them were answered in full.
 #[derive(Default)]
@@ -216,6 +229,36 @@
         }
     }
 
+    /// A sender gives its next order, or the same once more: until it is acknowledged either
+    /// state may stand.
+    pub fn sender_goes_on(&mut self, sender: usize, zone: &str, drained: bool) {
+        let orders = SenderOrders { zone: zone.to_string(), asked: drained, stands: None };
+        self.senders.insert(sender, orders);
+    }
+
+    /// A sender's order is acknowledged.
+    pub fn sender_is_acknowledged(&mut self, sender: usize, drained: bool) {
+        if let Some(orders) = self.senders.get_mut(&sender) {
+            orders.stands = Some(drained);
+        }
+    }
+
+    /// Rule 14: an order whose sender has gone on is carried out after a later one of the same
+    /// sender was acknowledged. `drained` is what stands now; nobody else orders about the zone.
+    pub fn check_last_order_stands(&mut self, now: Tick, sender: usize, drained: bool) {
+        let Some(SenderOrders { zone, stands: Some(stands), .. }) = self.senders.get(&sender)
+        else {
+            return;
+        };
+        if *stands != drained {
+            let text = format!(
+                "zone {zone}: the last acknowledged order says drained {stands}, but drained \
+                 {drained} stands"
+            );
+            self.violated(now, 14, text);
+        }
+    }
+
     /// Rule 13: a querier in touch sends to a leaf that the platform's list has shown as leaving
     /// for so long.
     pub fn check_shown_leaving(&mut self, now: Tick, who: &str, leaf: &str, shown_for: Tick) {
--- a/crates/simulator/src/scenario/apply.rs
+++ b/crates/simulator/src/scenario/apply.rs
@@ -22,14 +22,16 @@
         let parameters = &fault.parameters;
         let duration = parameters["for_s"].as_f64().map(|seconds| (seconds * SECOND as f64) as u64);
         match fault.action.as_str() {
-            "kill-seat" | "stop-seat" | "start-seat" | "pause-seat" | "disk" | "flip" => {
+            "kill-seat" | "stop-seat" | "start-seat" | "pause-seat" | "disk" | "flip"
+            | "hold-seat" => {
                 self.apply_to_controller(fault, duration);
             }
             "kill-querier" | "stop-querier" | "pause-querier" => {
                 self.apply_to_querier(fault, duration);
             }
             "cut" | "heal" | "loss" | "slow-net" => self.apply_to_net(fault),
-            "drain" | "undrain" | "apply" | "patch" | "grow" | "storm" | "race" => {
+            "drain" | "undrain" | "apply" | "patch" | "grow" | "storm" | "race"
+            | "orders-without-id" => {
                 self.apply_by_operator(fault);
             }
             "restart-all" => self.restart_all(parameters, duration),
@@ -69,6 +71,13 @@
             "pause-seat" => {
                 self.controllers[which].paused = self.now + duration.unwrap_or(PAUSE_DEFAULT);
             }
+            "hold-seat" => {
+                let until = self.now + duration.unwrap_or(PAUSE_DEFAULT);
+                let from = Node::Controller(which as u8);
+                for to in 0..self.controllers.len() {
+                    self.net.hold(from, Node::Controller(to as u8), until);
+                }
+            }
             "disk" => {
                 if let Some(health) = disk_health(parameters) {
                     self.set_disk_health(which, health);
@@ -132,6 +141,10 @@
                 let bytes = parameters["bytes"].as_u64().unwrap_or(2_000) as usize;
                 self.submit(0, OperatorRequest::add_pools(pools, bytes));
             }
+            "orders-without-id" => {
+                let orders = parameters["count"].as_u64().unwrap_or(8).max(1);
+                self.add_zone_operator(zone, orders);
+            }
             "storm" => {
                 let left = parameters["count"].as_u64().unwrap_or(50).max(1);
                 let gap = ms(parameters["gap_ms"].as_u64().unwrap_or(20));
--- a/crates/simulator/src/scenario/read.rs
+++ b/crates/simulator/src/scenario/read.rs
@@ -42,6 +42,8 @@
     ("grow", &["pools", "bytes"]),
     ("storm", &["count", "gap_ms"]),
     ("race", &["count"]),
+    ("orders-without-id", &["zone", "count"]),
+    ("hold-seat", &["which", "for_s"]),
     ("add-leafs", &["service", "zone", "count"]),
     ("mend-all", &["factor"]),
     ("load", &["factor"]),
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -57,6 +57,7 @@
             drain_notice: None,
             faulty_variant: None,
             cold_leafs: Default::default(),
+            zone_operators: Vec::new(),
             membership_memory: Default::default(),
             disturbances: Default::default(),
             faults: Vec::new(),
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -143,6 +143,18 @@
         /// Time between two changes.
         gap: Span,
     },
+    /// An operator without ids gives its next order, or looks at what stands.
+    ZoneOrder {
+        /// The operator's number.
+        operator: usize,
+    },
+    /// An operator without ids has waited for an answer for as long as it does.
+    OperatorSilence {
+        /// The operator's number.
+        operator: usize,
+        /// The request that it waited for.
+        request: usize,
+    },
     /// An operator's change that shows whether the control plane has recovered.
     ChangeAfterRestart {
         /// The number of the restart among those that are judged.
--- a/crates/simulator/src/world/faulty_variant.rs
+++ b/crates/simulator/src/world/faulty_variant.rs
@@ -46,6 +46,8 @@
     WarmsUpByUnsettledMembers,
     /// Leaders count what a voter acknowledged before its process restarted.
     CountsFormerAcknowledgements,
+    /// Orders without id and base are carried out under an id that is made up for each.
+    MakesUpRequestIds,
     /// A controller that is asked to stop ends before its successor holds the data.
     StopsBeforeHandover,
 }
--- a/crates/simulator/src/world/in_touch.rs
+++ b/crates/simulator/src/world/in_touch.rs
@@ -41,7 +41,7 @@
             disturbances.core_until = disturbances.core_until.max(now + span);
         };
         match fault.action.as_str() {
-            "kill-seat" | "stop-seat" | "pause-seat" => core(lasts + CONTACT),
+            "kill-seat" | "stop-seat" | "pause-seat" | "hold-seat" => core(lasts + CONTACT),
             "start-seat" | "add-seat" | "seeds" | "flip" => core(CONTACT),
             "restart-all" => core(lasts + CONTACT_AFTER_RESTART),
             "disk" | "cut" | "loss" | "slow-net" => disturbances.lasts = true,
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -32,6 +32,7 @@
 mod query_engines;
 mod status;
 mod time_loop;
+mod zone_operators;
 
 pub use build::{ControlPlaneSetup, address, three_voters};
 pub use events::FollowUp;
@@ -75,6 +76,8 @@
     calls: BTreeMap<u64, Call>,
     /// All operators' requests.
     pub operator_requests: Vec<OperatorRequest>,
+    /// Operators that give orders without ids.
+    zone_operators: Vec<zone_operators::ZoneOperator>,
     /// The checkers.
     pub rules: Rules,
     /// How calls ended, by search.
--- a/crates/simulator/src/world/operator_request.rs
+++ b/crates/simulator/src/world/operator_request.rs
@@ -1,7 +1,7 @@
 //! What operators ask of the controllers.
 
 use grebepath_core::protocol::operation::{Operation, OperationResult};
-use grebepath_core::time::Tick;
+use grebepath_core::time::{Span, Tick};
 use serde_json::{Value, json};
 
 /// A change of a zone's state that an operator asks for.
@@ -13,6 +13,15 @@
     pub drained: bool,
 }
 
+/// An attempt of an operator that gives orders without ids (`zone_operators`).
+#[derive(Clone, Copy, Debug)]
+pub struct UnnamedOrder {
+    /// The operator's number.
+    pub operator: usize,
+    /// How often this order's sender was redirected (count).
+    pub redirections: u32,
+}
+
 /// An operator's request, and what became of it.
 pub struct OperatorRequest {
     /// Its request id, if another request had it before: it is sent again.
@@ -31,6 +40,10 @@
     pub marker: Option<String>,
     /// The revision that the operator read before.
     pub expect: Option<u64>,
+    /// How long its connection holds it.
+    pub held_for: Span,
+    /// Whose order it is an attempt of, if its sender gives no ids.
+    pub unnamed: Option<UnnamedOrder>,
 }
 
 impl OperatorRequest {
@@ -44,6 +57,8 @@
             zone: None,
             marker: None,
             expect: None,
+            held_for: 0,
+            unnamed: None,
         }
     }
 
--- a/crates/simulator/src/world/operators.rs
+++ b/crates/simulator/src/world/operators.rs
@@ -80,7 +80,8 @@
             expected_revision: self.operator_requests[id].expect,
             operation: self.operator_requests[id].operation.clone(),
         };
-        self.push(ms(1), ScheduledEvent::ControllerEvent { controller, life, event });
+        let travel = ms(1) + self.operator_requests[id].held_for;
+        self.push(travel, ScheduledEvent::ControllerEvent { controller, life, event });
     }
 
     pub(super) fn acknowledge(&mut self, id: usize, result: OperationResult) {
@@ -126,6 +127,9 @@
         }
         self.acknowledged_at.insert(id, self.now);
         self.operator_requests[id].result = Some(result);
+        if let Some(order) = self.operator_requests[id].unnamed {
+            self.answer_zone_operator(order, id);
+        }
     }
 
     /// The newest configuration that a voter has committed.
--- a/crates/simulator/src/world/time_loop.rs
+++ b/crates/simulator/src/world/time_loop.rs
@@ -184,6 +184,10 @@
                     back.order = Some(request);
                 }
             }
+            FollowUp::ZoneOrder { operator } => self.begin_zone_order(operator),
+            FollowUp::OperatorSilence { operator, request } => {
+                self.end_operator_patience(operator, request);
+            }
             FollowUp::RequestStorm { left, gap } => {
                 self.submit_marked();
                 if left > 1 {
