Take a fraction for the slack of retries, as the platform's bounds may be one

Change: fractions of this bound are dropped.

Test: bounds_of_the_platform_may_be_fractions, seen failing before.

--- a/crates/runtime/src/settings/reader.rs
+++ b/crates/runtime/src/settings/reader.rs
@@ -230,6 +230,13 @@
         Some((seconds * 1e6) as Span)
     }
 
+    /// A bound from 0 to `high`, fractions dropped: what is bounded is counted in whole numbers.
+    pub fn bound(&mut self, name: &'static str, high: u64, default: u64) -> u64 {
+        let expected = format!("a number from 0 to {high}");
+        let bound = self.decimal(name, &expected, |n| (0.0..=high as f64).contains(&n));
+        bound.map_or(default, |n| n as u64)
+    }
+
     /// An amount above zero, fractions dropped.
     pub fn positive_amount(&mut self, name: &'static str, default: u64) -> u64 {
         let amount = self.decimal(name, "a number above zero", |n| n > 0.0);
--- a/crates/server/src/querier/settings.rs
+++ b/crates/server/src/querier/settings.rs
@@ -158,6 +158,6 @@
     let default = RetryRate::standard();
     RetryRate {
         per_thousand: reader.share_in_thousandths("second_share", default.per_thousand),
-        fleet_slack: reader.number("second_slack", 0, SLACK_MAX, Some(default.fleet_slack)),
+        fleet_slack: reader.bound("second_slack", SLACK_MAX, default.fleet_slack),
     }
 }
--- a/crates/server/tests/local_cluster.rs
+++ b/crates/server/tests/local_cluster.rs
@@ -391,3 +391,25 @@
         expect_that!(text, contains_substring(want));
     }
 }
+
+#[googletest::test]
+fn bounds_of_the_platform_may_be_fractions() {
+    // Guards against queriers that end at their start when a bound is no whole number.
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("fractions.json");
+    let settings = |slack: f64| {
+        std::fs::write(&file, json!({ "second_slack": slack, "list_rate": 9.8 }).to_string())
+            .unwrap();
+        let out = std::process::Command::new(env!("CARGO_BIN_EXE_querier"))
+            .args(["--params", file.to_str().unwrap()])
+            .output()
+            .unwrap();
+        String::from_utf8_lossy(&out.stderr).to_string()
+    };
+    // The rest of the settings is missing, so it ends and says what it would not take.
+    for fits in [0.0, 12.6, 52.0] {
+        expect_that!(settings(fits), not(contains_substring("second_slack")), "{fits}");
+    }
+    for wrong in [-0.5, 1e9] {
+        expect_that!(settings(wrong), contains_substring("params.second_slack"), "{wrong}");
+    }
+}
