--- a/crates/server/src/local_cluster/main.rs
+++ b/crates/server/src/local_cluster/main.rs
@@ -38,6 +38,7 @@
     let exe = std::env::current_exe()?;
     let layout = Layout {
         bin: local_cluster::bin_dir(&exe),
+        daemons: None,
         dir: args.dir.clone().into(),
         deploy: args.deploy.clone().into(),
         name: args.name.clone(),
--- a/crates/server/src/process_soak/checks.rs
+++ b/crates/server/src/process_soak/checks.rs
@@ -15,6 +15,7 @@
     let mut violations = drain(record);
     violations.extend(drained_zones(record));
     violations.extend(kept_orders(record));
+    violations.extend(standing_orders(record));
     violations.extend(record.wrong_answers.iter().map(|text| format!("MIXED: {text}")));
     violations.extend(record.process_faults.iter().cloned());
     violations
@@ -94,3 +95,18 @@
     }
     violations
 }
+
+/// LOST: a zone that was read does not stand as its newest order says, which was acknowledged.
+fn standing_orders(record: &Record) -> Vec<String> {
+    let mut violations = Vec::new();
+    for read in &record.zone_reads {
+        let order = &record.zone_orders[read.order];
+        if order.acknowledged_ms.is_some() && order.drained != read.is_drained {
+            violations.push(format!(
+                "LOST: zone {} is read as drained {} at {} ms, against its newest order",
+                order.zone, read.is_drained, read.at_ms
+            ));
+        }
+    }
+    violations
+}
--- a/crates/server/src/process_soak/cluster_run.rs
+++ b/crates/server/src/process_soak/cluster_run.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 use crate::cli::Args;
+use crate::long_calls;
 use crate::operator;
 use crate::operator::Order;
 use crate::record::{LeavingLeaf, Machine, Record, Run};
@@ -67,6 +68,7 @@
 pub async fn play(args: &Args, seed: u64, schedule: &Schedule) -> Result<Record, Failure> {
     let layout = Layout {
         bin: local_cluster::bin_dir(&std::env::current_exe()?),
+        daemons: args.programs.as_ref().map(Into::into),
         dir: format!("{}/seed-{seed}", args.dir).into(),
         deploy: args.deploy.clone().into(),
         name: DEPLOYMENT.into(),
@@ -85,7 +87,10 @@
     let operator = tokio::task::spawn_local(work);
     let seen = Rc::new(RefCell::new(Seen::default()));
     let until = Instant::now() + Duration::from_millis(args.length_ms());
-    let loads = start_load(&cluster, &spec, seed, &seen, until);
+    let mut loads = start_load(&cluster, &spec, seed, &seen, until);
+    let config = std::fs::read(format!("{}/{DEPLOYMENT}.json", args.deploy))?;
+    let config: Value = serde_json::from_slice(&config)?;
+    loads.extend(long_calls::start(&cluster, &spec, &config, &seen, until).await?);
     let mut driver = Driver {
         cluster,
         record: record.clone(),
--- /dev/null
+++ b/crates/server/src/process_soak/long_calls.rs
@@ -0,0 +1,70 @@
+//! Callers whose calls take seconds, on connections that they keep until the process at the other
+//! end is gone: a querier that stops lives on through its grace.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use grebepath_runtime::http::client::HttpClient;
+use grebepath_simulator::spec::{Kind, Spec};
+use serde_json::{Value, json};
+use testbed::callers::{Seen, one};
+use testbed::local_cluster::LocalCluster;
+use testbed::local_cluster::error::LocalClusterError;
+use tokio::task::JoinHandle;
+
+/// The search that takes long, and the service that makes it so.
+const SEARCH: &str = "history";
+const SERVICE: &str = "mohalla-history-w48-0";
+/// How long its leafs take for an answer (ms).
+const LEAF_MS: u64 = 5_000;
+/// How long callers wait, and what the search promises (ms).
+const BUDGET_MS: u64 = 7_000;
+/// Callers of each querier (count).
+const CALLERS: u64 = 2;
+/// Pause after a call.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Makes the service slow, lets its search take as long, and starts the callers of all queriers.
+pub async fn start(
+    cluster: &LocalCluster,
+    spec: &Spec,
+    config: &Value,
+    seen: &Rc<RefCell<Seen>>,
+    until: Instant,
+) -> Result<Vec<JoinHandle<()>>, LocalClusterError> {
+    cluster.order(json!({ "do": "slow", "service": SERVICE, "ms": LEAF_MS })).await?;
+    let searches = config["searches"].as_array().into_iter().flatten();
+    for search in searches.filter(|search| search["name"] == SEARCH) {
+        let mut patient = search.clone();
+        patient["promise_ms"] = json!(BUDGET_MS);
+        cluster.patch(&json!({ "searches": [patient] }), "long-calls").await?;
+    }
+    let kind = spec.kinds.iter().find(|kind| kind.search == SEARCH).cloned();
+    let kind = kind.map(|kind| Rc::new(Kind { budget_ms: BUDGET_MS, ..kind }));
+    let fronts = cluster.fronts.iter().flat_map(|front| (0..CALLERS).map(move |_| *front));
+    let numbered = fronts.zip(0..);
+    let callers = numbered.filter_map(|(front, number)| {
+        let calls = call_again(front, kind.clone()?, number, seen.clone(), until);
+        Some(tokio::task::spawn_local(calls))
+    });
+    Ok(callers.collect())
+}
+
+/// One call after the other, until a time.
+async fn call_again(
+    front: SocketAddr,
+    kind: Rc<Kind>,
+    number: u64,
+    seen: Rc<RefCell<Seen>>,
+    until: Instant,
+) {
+    let http = HttpClient::new(1);
+    let mut turn = 0;
+    while Instant::now() < until {
+        one(http.clone(), front, kind.clone(), number << 20 | turn, seen.clone()).await;
+        turn += 1;
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/crates/server/src/process_soak/main.rs
+++ b/crates/server/src/process_soak/main.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod cli;
 mod cluster_run;
+mod long_calls;
 mod operator;
 mod record;
 mod schedule;
@@ -58,7 +59,7 @@
             broken += 1;
             explain(&schedule, &record, &violations);
         }
-        report.push(json!({ "seed": seed, "runs": record.runs.len(), "violations": violations }));
+        report.push(describe(seed, &schedule, &record, &violations));
     }
     if let Some(path) = &args.json {
         std::fs::write(Path::new(path), Value::Array(report).to_string())?;
@@ -66,6 +67,23 @@
     Ok(broken)
 }
 
+/// A seed's run for the report.
+fn describe(seed: u64, schedule: &Schedule, record: &Record, violations: &[String]) -> Value {
+    let actions = schedule.actions.iter();
+    let actions: Vec<Value> = actions
+        .map(|action| json!({ "at_ms": action.at_ms, "do": format!("{:?}", action.kind) }))
+        .collect();
+    let events: Vec<Value> = record
+        .events
+        .iter()
+        .map(|event| json!({ "at_ms": event.at_ms, "text": event.text }))
+        .collect();
+    json!({
+        "seed": seed, "runs": record.runs.len(), "schedule": actions, "events": events,
+        "violations": violations,
+    })
+}
+
 /// Prints a failing seed's schedule, what happened in the order of time, and what broke.
 fn explain(schedule: &Schedule, record: &Record, violations: &[String]) {
     println!("  schedule (what follows from it depends on the machine's timing):");
--- a/crates/server/src/process_soak/operator.rs
+++ b/crates/server/src/process_soak/operator.rs
@@ -7,11 +7,11 @@
 
 use grebepath_runtime::http::client::HttpClient;
 use hyper::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 use testbed::redirects::FollowedRequest;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::record::{Record, ZoneOrder};
+use crate::record::{Record, ZoneOrder, ZoneRead};
 
 /// Silence after which the operator goes on to another controller.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -39,6 +39,7 @@
 ) {
     let http = HttpClient::new(4);
     while let Some(order) = orders.recv().await {
+        note_what_stands(&http, &controllers, &record, order.zone).await;
         let at = begin(&record, &order);
         let is_sent = sends_drains || !order.drained;
         if !is_sent || give(&http, &controllers, &order).await {
@@ -49,6 +50,29 @@
     }
 }
 
+/// Reads how a zone stands, if somebody answers, and notes it beside the newest order about it.
+async fn note_what_stands(
+    http: &HttpClient,
+    controllers: &[SocketAddr],
+    record: &Rc<RefCell<Record>>,
+    zone: &'static str,
+) {
+    for door in controllers {
+        let request = FollowedRequest::new(Method::GET, "/v1/config", "");
+        let Ok(answer) = request.send(http, &door.to_string(), SILENCE).await else { continue };
+        let Ok(read) = serde_json::from_slice::<Value>(answer.body()) else { continue };
+        let Some(zones) = read["config"]["zones"].as_array() else { continue };
+        let is_drained = zones.iter().any(|z| z["name"] == zone && z["state"] == "drained");
+        let mut record = record.borrow_mut();
+        let at_ms = record.now_ms();
+        let order = record.zone_orders.iter().rposition(|order| order.zone == zone);
+        if let Some(order) = order {
+            record.zone_reads.push(ZoneRead { order, is_drained, at_ms });
+        }
+        return;
+    }
+}
+
 /// Notes that an order is sent now; gives its place.
 fn begin(record: &Rc<RefCell<Record>>, order: &Order) -> usize {
     let mut record = record.borrow_mut();
--- a/crates/server/src/process_soak/record.rs
+++ b/crates/server/src/process_soak/record.rs
@@ -41,6 +41,16 @@
     pub acknowledged_ms: Option<u64>,
 }
 
+/// How a zone stood when it was read, before the next order about it was sent.
+pub struct ZoneRead {
+    /// The newest order about the zone, by its place among all.
+    pub order: usize,
+    /// What was read.
+    pub is_drained: bool,
+    /// When.
+    pub at_ms: u64,
+}
+
 /// An attempt that began to run at a leaf.
 pub struct Run {
     /// The leaf.
@@ -70,6 +80,8 @@
     pub leaving: Vec<LeavingLeaf>,
     /// Orders about zones, in the order in which they were given.
     pub zone_orders: Vec<ZoneOrder>,
+    /// What was read between orders.
+    pub zone_reads: Vec<ZoneRead>,
     /// What leafs ran.
     pub runs: Vec<Run>,
     /// What happened.
@@ -90,6 +102,7 @@
             disturbances: Vec::new(),
             leaving: Vec::new(),
             zone_orders: Vec::new(),
+            zone_reads: Vec::new(),
             runs: Vec::new(),
             events: Vec::new(),
             zones_at_end: Vec::new(),
--- a/crates/server/src/process_soak/schedule.rs
+++ b/crates/server/src/process_soak/schedule.rs
@@ -12,6 +12,9 @@
 /// with by then, and queriers are in touch for a while.
 const CORE_PERIOD_MS: u64 = 14_000;
 
+/// A zone is drained so long before an order takes that back (ms).
+const DRAINED_BEFORE_MS: u64 = 2_000;
+
 /// What happens.
 #[derive(Clone, Debug)]
 pub enum ActionKind {
@@ -61,7 +64,10 @@
         for _ in 0..1 + length_ms / 10_000 {
             draw.disturb_queriers();
         }
-        draw.disturb_core();
+        // A disturbed core puts nobody in touch: what queriers do is judged without it.
+        if draw.below(2) == 0 {
+            draw.disturb_core();
+        }
         draw.move_leafs();
         draw.give_orders();
         draw.actions.sort_by_key(|action| action.at_ms);
@@ -99,7 +105,8 @@
             all.swap(last, other);
         }
         let most = self.queriers.saturating_sub(1).max(1) as u64;
-        all.truncate(1 + self.below(most) as usize);
+        let count = if self.below(2) == 0 { most } else { 1 + self.below(most) };
+        all.truncate(count as usize);
         all
     }
 
@@ -107,13 +114,14 @@
     fn disturb_queriers(&mut self) {
         let (from, gap_ms) = (self.moment(), 200 + self.below(1_300));
         let chosen = self.some_queriers();
-        let (kind, down_ms) = (self.below(4), 1_000 + self.below(4_000));
+        let (kind, down_ms) = (self.below(6), 1_000 + self.below(4_000));
         for (turn, querier) in chosen.into_iter().enumerate() {
+            let in_turn = from + turn as u64 * gap_ms;
             match kind {
-                0 => self.add(from + turn as u64 * gap_ms, ActionKind::StopQuerier(querier)),
-                1 => self.add(from, ActionKind::KillQuerier { querier, down_ms }),
-                2 => self.add(from, ActionKind::FreezeQuerier { querier, for_ms: down_ms }),
-                _ => self.add(from + turn as u64 * gap_ms, ActionKind::HangUpQuerier(querier)),
+                0 | 1 => self.add(in_turn, ActionKind::StopQuerier(querier)),
+                2 | 3 => self.add(from, ActionKind::KillQuerier { querier, down_ms }),
+                4 => self.add(from, ActionKind::FreezeQuerier { querier, for_ms: down_ms }),
+                _ => self.add(in_turn, ActionKind::HangUpQuerier(querier)),
             }
         }
     }
@@ -123,8 +131,8 @@
         let mut at_ms = MARGIN_MS + self.below(CORE_PERIOD_MS);
         while at_ms + MARGIN_MS < self.length_ms {
             let controller = self.below(CONTROLLERS as u64) as usize;
-            let for_ms = 500 + self.below(4_500);
-            let kind = match self.below(3) {
+            let for_ms = 500 + self.below(5_500);
+            let kind = match self.below(4) {
                 0 => ActionKind::StopController(controller),
                 1 => ActionKind::KillController { controller, down_ms: for_ms },
                 _ => ActionKind::FreezeController { controller, for_ms },
@@ -146,24 +154,28 @@
         self.add(at_ms, ActionKind::LeafRestarts);
     }
 
-    /// Orders to drain a zone that are given and taken back, some of them to a controller that stands still.
+    /// Orders to drain a zone that are given and taken back. A take-back goes to each controller
+    /// that stands still, and the opposite follows once its sender has gone on.
     fn give_orders(&mut self) {
         let zone = ZONES[self.below(ZONES.len() as u64) as usize];
-        let frozen = self.actions.iter().find_map(|action| match action.kind {
-            ActionKind::FreezeController { controller, .. } => Some((action.at_ms, controller)),
-            _ => None,
-        });
-        let any = self.below(CONTROLLERS as u64) as usize;
-        let begin = self.moment() / 2 + MARGIN_MS;
-        self.add(begin, ActionKind::DrainZone { zone, controller: any });
-        let (at_ms, controller) = match frozen {
-            Some((at_ms, controller)) if at_ms > begin => (at_ms + 100, controller),
-            _ => (begin + 4_000, any),
-        };
-        self.add(at_ms, ActionKind::TakeBack { zone, controller });
-        self.add(
-            at_ms + 1,
-            ActionKind::DrainZone { zone, controller: (controller + 1) % CONTROLLERS },
-        );
+        let mut frozen: Vec<(u64, usize)> = Vec::new();
+        for action in &self.actions {
+            if let ActionKind::FreezeController { controller, .. } = action.kind {
+                frozen.push((action.at_ms, controller));
+            }
+        }
+        if frozen.is_empty() {
+            // Early, so that what stands afterwards is judged for long.
+            let at_ms = (self.moment() / 2).max(DRAINED_BEFORE_MS + MARGIN_MS);
+            frozen.push((at_ms, self.below(CONTROLLERS as u64) as usize));
+        }
+        for (at_ms, controller) in frozen {
+            let other = (controller + 1) % CONTROLLERS;
+            let before = at_ms.saturating_sub(DRAINED_BEFORE_MS).max(MARGIN_MS / 2);
+            let after = at_ms + 1 + self.below(100);
+            self.add(before, ActionKind::DrainZone { zone, controller: other });
+            self.add(after, ActionKind::TakeBack { zone, controller });
+            self.add(after + 1, ActionKind::DrainZone { zone, controller: other });
+        }
     }
 }
--- a/crates/server/src/testbed/callers.rs
+++ b/crates/server/src/testbed/callers.rs
@@ -77,7 +77,7 @@
     seed: u64,
     until: Instant,
 ) {
-    let mut luck = Random::new(seed);
+    let mut random = Random::new(seed);
     let gap = Duration::from_secs_f64(1.0 / (kind.per_s * factor));
     let start = Instant::now();
     let mut n = 0u32;
@@ -91,8 +91,8 @@
             }
             tokio::time::sleep_until(at.into()).await;
             n += 1;
-            let addr = pick(&mut luck, &targets);
-            let num = luck.below(1 << 40);
+            let addr = pick(&mut random, &targets);
+            let num = random.below(1 << 40);
             match addr {
                 Some(addr) => {
                     tokio::task::spawn_local(one(
@@ -115,9 +115,9 @@
     std::cell::RefMut::map(seen.borrow_mut(), |s| s.kinds.entry(kind.search.clone()).or_default())
 }
 
-fn pick(luck: &mut Random, targets: &Targets) -> Option<SocketAddr> {
+fn pick(random: &mut Random, targets: &Targets) -> Option<SocketAddr> {
     let list = targets.borrow();
-    let n = luck.below(list.len() as u64) as usize;
+    let n = random.below(list.len() as u64) as usize;
     list.get(n).copied()
 }
 
--- a/crates/server/src/testbed/local_cluster/mod.rs
+++ b/crates/server/src/testbed/local_cluster/mod.rs
@@ -25,6 +25,8 @@
 pub struct Layout {
     /// Folder of the built programs.
     pub bin: PathBuf,
+    /// Folder of controller and querier, if it is another one.
+    pub daemons: Option<PathBuf>,
     /// Folder for data and logs; it must be empty.
     pub dir: PathBuf,
     /// The deployment's files: `NAME.json` and `NAME.standins.json`.
@@ -198,13 +200,13 @@
 /// so port 0 is of no use: the system would hand such a port to anyone in
 /// between. These lie below the range from which it hands out ports.
 pub fn free_ports(n: usize) -> Result<Vec<u16>, LocalClusterError> {
-    let mut luck = grebepath_core::random::Random::new(grebepath_runtime::clock::nonce());
+    let mut random = grebepath_core::random::Random::new(grebepath_runtime::clock::nonce());
     let mut held = Vec::new();
     for _ in 0..10_000 {
         if held.len() == n {
             break;
         }
-        let port = 10_000 + luck.below(20_000) as u16;
+        let port = 10_000 + random.below(20_000) as u16;
         if let Ok(sock) = std::net::TcpListener::bind(("127.0.0.1", port)) {
             held.push((port, sock));
         }
--- a/crates/server/src/testbed/local_cluster/process.rs
+++ b/crates/server/src/testbed/local_cluster/process.rs
@@ -27,7 +27,7 @@
 }
 
 impl Process {
-    /// A process that is not started.
+    /// A process of one of our tools; it is not started.
     pub fn new(layout: &Layout, name: &str, program: &str, args: Vec<String>) -> Process {
         Process {
             name: name.to_string(),
@@ -39,14 +39,20 @@
         }
     }
 
+    fn daemon(layout: &Layout, name: &str, program: &str, settings: &[(&str, String)]) -> Process {
+        let folder = layout.daemons.as_ref().unwrap_or(&layout.bin);
+        let process = Process::new(layout, name, program, flags(&[], settings));
+        Process { program: folder.join(program), ..process }
+    }
+
     /// A controller with settings of the caller's choice; it is not started.
     pub fn controller(layout: &Layout, name: &str, settings: &[(&str, String)]) -> Process {
-        Process::new(layout, name, "controller", flags(&[], settings))
+        Process::daemon(layout, name, "controller", settings)
     }
 
     /// A querier with settings of the caller's choice; it is not started.
     pub fn querier(layout: &Layout, name: &str, settings: &[(&str, String)]) -> Process {
-        Process::new(layout, name, "querier", flags(&[], settings))
+        Process::daemon(layout, name, "querier", settings)
     }
 
     /// Starts it and waits for the line that says it is up.
--- a/crates/server/src/testbed/mock_backends/leaf_server.rs
+++ b/crates/server/src/testbed/mock_backends/leaf_server.rs
@@ -27,7 +27,7 @@
     listener: TcpListener,
     leaf: Rc<RefCell<Leaf>>,
     runs: Rc<RefCell<Vec<Run>>>,
-    luck: Rc<RefCell<Random>>,
+    random: Rc<RefCell<Random>>,
     zero: Instant,
 ) {
     let mut connections = JoinSet::new();
@@ -36,9 +36,9 @@
             got = listener.accept() => {
                 let Ok((stream, _)) = got else { continue };
                 let _ = stream.set_nodelay(true);
-                let (leaf, runs, luck) = (leaf.clone(), runs.clone(), luck.clone());
+                let (leaf, runs, random) = (leaf.clone(), runs.clone(), random.clone());
                 let service = service_fn(move |req| {
-                    handle(leaf.clone(), runs.clone(), luck.clone(), zero, req)
+                    handle(leaf.clone(), runs.clone(), random.clone(), zero, req)
                 });
                 connections.spawn_local(async move {
                     let _ = http1::Builder::new()
@@ -88,7 +88,7 @@
 async fn handle(
     leaf: Rc<RefCell<Leaf>>,
     runs: Rc<RefCell<Vec<Run>>>,
-    luck: Rc<RefCell<Random>>,
+    random: Rc<RefCell<Random>>,
     zero: Instant,
     req: Request<hyper::body::Incoming>,
 ) -> Result<Reply, Infallible> {
@@ -133,7 +133,7 @@
     let limit = asked["limit"].as_u64().unwrap_or(0) as usize;
     let row = note_run(&leaf, &runs, zero, &query, &question, &key);
     let base = leaf.borrow().service.took_ms;
-    let noise = luck.borrow_mut().below(base + 1);
+    let noise = random.borrow_mut().below(base + 1);
     let over = u64::from(live.saturating_sub(bear)) * base / u64::from(bear.max(1));
     let extra = match &mode {
         Mode::Slow(ms) => *ms,
--- a/crates/server/tests/common/mod.rs
+++ b/crates/server/tests/common/mod.rs
@@ -23,7 +23,7 @@
     let bin = PathBuf::from(env!("CARGO_BIN_EXE_controller"));
     let bin = bin.parent().expect("a program lies in a folder").to_path_buf();
     let deploy = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
-    Layout { bin, dir: folder(test), deploy, name: deployment.into(), queriers }
+    Layout { bin, daemons: None, dir: folder(test), deploy, name: deployment.into(), queriers }
 }
 
 /// Makes a test's folder, without what an earlier run left there.
