--- a/crates/core/tests/catch_up.rs
+++ b/crates/core/tests/catch_up.rs
@@ -44,8 +44,8 @@
 fn change(cluster: &mut Cluster, operator: &mut Operator, node: usize, count: u64) {
     for _ in 0..count {
         let after = operator.edition;
-        let deed = edition(after, &operator.note);
-        let order = ask(cluster, node, &format!("order-{after}"), deed);
+        let operation = edition(after, &operator.note);
+        let order = ask(cluster, node, &format!("order-{after}"), operation);
         let done = answered(cluster, order);
         assert!(matches!(done, OperationResult::Accepted { .. }), "edition {after}: {done:?}");
         operator.edition += 1;
--- a/crates/core/tests/connection_subset.rs
+++ b/crates/core/tests/connection_subset.rs
@@ -62,11 +62,11 @@
 #[googletest::test]
 fn a_leaf_is_never_dealt_more_than_its_limit_less_a_tenth() {
     // Guards against resets by leafs: each is a call that fails.
-    let mut luck = Random::new(8);
+    let mut random = Random::new(8);
     for _ in 0..300 {
-        let peers = nodes(1 + luck.below(40) as usize);
-        let leafs: Vec<_> = (0..1 + luck.below(12) as usize).map(leaf).collect();
-        let limit = 1 + luck.below(120);
+        let peers = nodes(1 + random.below(40) as usize);
+        let leafs: Vec<_> = (0..1 + random.below(12) as usize).map(leaf).collect();
+        let limit = 1 + random.below(120);
         let dealt = all(&peers, &leafs, limit);
         let most = if limit == 1 { 1 } else { limit - (limit / 10).max(1) };
         for l in &leafs {
@@ -80,11 +80,11 @@
 #[googletest::test]
 fn nodes_get_nearly_the_same_number_of_wires() {
     // Guards against a node that is left without connections, or hoards them.
-    let mut luck = Random::new(9);
+    let mut random = Random::new(9);
     for _ in 0..200 {
-        let peers = nodes(1 + luck.below(30) as usize);
-        let leafs: Vec<_> = (0..1 + luck.below(12) as usize).map(leaf).collect();
-        let limit = 2 + luck.below(100);
+        let peers = nodes(1 + random.below(30) as usize);
+        let leafs: Vec<_> = (0..1 + random.below(12) as usize).map(leaf).collect();
+        let limit = 2 + random.below(100);
         let dealt = all(&peers, &leafs, limit);
         let each: Vec<u64> = peers.iter().map(|p| of_node(&dealt, p.thread_id)).collect();
         let (low, high) = (each.iter().min().unwrap(), each.iter().max().unwrap());
@@ -98,11 +98,11 @@
 #[googletest::test]
 fn of_the_wires_that_are_there_most_are_dealt() {
     // Guards against a deal that keeps the limit by using little of it.
-    let mut luck = Random::new(10);
+    let mut random = Random::new(10);
     for _ in 0..200 {
-        let peers = nodes(1 + luck.below(30) as usize);
-        let leafs: Vec<_> = (0..1 + luck.below(12) as usize).map(leaf).collect();
-        let limit = 10 + luck.below(100);
+        let peers = nodes(1 + random.below(30) as usize);
+        let leafs: Vec<_> = (0..1 + random.below(12) as usize).map(leaf).collect();
+        let limit = 10 + random.below(100);
         let dealt = all(&peers, &leafs, limit).values().sum::<u64>();
         let there = (limit - limit / 10) * leafs.len() as u64;
         let (n, m) = (peers.len() as u64, leafs.len());
--- a/crates/core/tests/editions.rs
+++ b/crates/core/tests/editions.rs
@@ -101,11 +101,15 @@
     for (i, next) in [1u64, 2, 9, 10, 5_000, u64::from(u32::MAX) + 7].into_iter().enumerate() {
         let path = format!("/{next}/");
         for low in [0, stand / 2, stand] {
-            let (req, deed) = (format!("low-{i}-{low}"), whole(stand, low, "/low/"));
-            expect_that!(wrong(&operate(&mut o, &req, deed)), elements_are![eq("terms.edition")]);
+            let (req, operation) = (format!("low-{i}-{low}"), whole(stand, low, "/low/"));
+            expect_that!(
+                wrong(&operate(&mut o, &req, operation)),
+                elements_are![eq("terms.edition")]
+            );
         }
-        let deed = if i % 2 == 0 { whole(stand, next, &path) } else { patch(stand, next, &path) };
-        expect_that!(accepted(&operate(&mut o, &format!("n{i}"), deed)), eq(true));
+        let operation =
+            if i % 2 == 0 { whole(stand, next, &path) } else { patch(stand, next, &path) };
+        expect_that!(accepted(&operate(&mut o, &format!("n{i}"), operation)), eq(true));
         stand = next;
         expect_that!(stands(&mut o), eq(&(next, path)));
         // On top of any other edition, higher ones too, it is not taken.
--- a/crates/core/tests/format_fixtures.rs
+++ b/crates/core/tests/format_fixtures.rs
@@ -247,8 +247,8 @@
     for count in 1..40 {
         renew(&mut cluster, "querier-1", 11, count);
     }
-    let deed = Operation::ForgetMember(stored::FORGOTTEN_NAME.into());
-    let done = answer(&mut cluster, 0, "", None, deed);
+    let operation = Operation::ForgetMember(stored::FORGOTTEN_NAME.into());
+    let done = answer(&mut cluster, 0, "", None, operation);
     let Some(OperationResult::Accepted { revision, .. }) = done else { panic!("{done:?}") };
     let (name, incarnation) = silent[1];
     let (key, value) = stored::forgotten_entry(name, incarnation, revision);
--- a/crates/core/tests/latency_estimate.rs
+++ b/crates/core/tests/latency_estimate.rs
@@ -14,13 +14,13 @@
 }
 
 /// A sum of even draws: near to a bell.
-fn bell(luck: &mut Random, mid: Span) -> Span {
-    mid / 2 + (0..8).map(|_| luck.below(mid / 8 + 1)).sum::<Span>()
+fn bell(random: &mut Random, mid: Span) -> Span {
+    mid / 2 + (0..8).map(|_| random.below(mid / 8 + 1)).sum::<Span>()
 }
 
 /// Few large ones among many small: as an exponential law has them.
-fn tail(luck: &mut Random, mean: Span) -> Span {
-    let even = (1 + luck.below(1_000_000)) as f64 / 1_000_001.0;
+fn tail(random: &mut Random, mean: Span) -> Span {
+    let even = (1 + random.below(1_000_000)) as f64 / 1_000_001.0;
     (-even.ln() * mean as f64) as Span
 }
 
@@ -38,14 +38,14 @@
     ];
     for (name, law) in laws {
         for seed in 0..5 {
-            let mut luck = Random::new(seed);
+            let mut random = Random::new(seed);
             let mut w = LatencyEstimate::default();
             for _ in 0..3_000 {
-                w.record("s", law(&mut luck));
+                w.record("s", law(&mut random));
             }
             let (mut below, n) = (0u64, 20_000);
             for _ in 0..n {
-                let took = law(&mut luck);
+                let took = law(&mut random);
                 below += u64::from(took <= mark(&w, "s"));
                 w.record("s", took);
             }
@@ -57,19 +57,19 @@
 
 #[googletest::test]
 fn the_mark_follows_leafs_that_become_slower_and_faster() {
-    let mut luck = Random::new(3);
+    let mut random = Random::new(3);
     let mut w = LatencyEstimate::default();
     for _ in 0..500 {
-        w.record("s", bell(&mut luck, ms(20)));
+        w.record("s", bell(&mut random, ms(20)));
     }
     let before = mark(&w, "s");
     // Half a hundred dispatches are enough to see that all have become slow.
     for _ in 0..60 {
-        w.record("s", bell(&mut luck, ms(200)));
+        w.record("s", bell(&mut random, ms(200)));
     }
     expect_that!(mark(&w, "s"), gt(before * 5));
     for _ in 0..2_000 {
-        w.record("s", bell(&mut luck, ms(20)));
+        w.record("s", bell(&mut random, ms(20)));
     }
     expect_that!(mark(&w, "s"), lt(before * 2));
 }
--- a/crates/core/tests/merge.rs
+++ b/crates/core/tests/merge.rs
@@ -16,12 +16,12 @@
 const SCORES: [f64; 9] = [0.0, 1.0, 1.0, 2.5, -3.0, 1e308, -1e308, 5e-324, f64::MAX];
 
 /// A shard's records, best first by a comparison of the test's own.
-fn shard(luck: &mut Random, name: &str) -> Vec<Record> {
-    let mut all: Vec<Record> = (0..luck.below(12))
+fn shard(random: &mut Random, name: &str) -> Vec<Record> {
+    let mut all: Vec<Record> = (0..random.below(12))
         .map(|i| Record {
             // Few ids, so that the same one stands in several shards.
-            id: format!("id-{}", (i + luck.below(3)) % 12),
-            score: SCORES[luck.below(SCORES.len() as u64) as usize],
+            id: format!("id-{}", (i + random.below(3)) % 12),
+            score: SCORES[random.below(SCORES.len() as u64) as usize],
             shard: name.to_string(),
             data: Value::Null,
         })
@@ -40,15 +40,15 @@
 
 #[googletest::test]
 fn the_merge_is_the_best_of_all_however_they_tie() {
-    let mut luck = Random::new(3);
+    let mut random = Random::new(3);
     let mut tied = 0;
     for round in 0..2_000 {
         let lists: Vec<_> =
-            (0..1 + luck.below(5)).map(|i| shard(&mut luck, &i.to_string())).collect();
+            (0..1 + random.below(5)).map(|i| shard(&mut random, &i.to_string())).collect();
         let mut want: Vec<Record> = lists.iter().flatten().cloned().collect();
         sort(&mut want);
         tied += want.windows(2).filter(|w| w[0].score == w[1].score && w[0].id == w[1].id).count();
-        let limit = luck.below(20) as usize;
+        let limit = random.below(20) as usize;
         want.truncate(limit);
         // In whatever order the shards came in.
         let mut turned = lists.clone();
--- a/crates/core/tests/order_resend.rs
+++ b/crates/core/tests/order_resend.rs
@@ -17,14 +17,14 @@
 use serde_json::{Value, json};
 
 /// A change of one zone with these terms.
-fn deed(terms: Value) -> Operation {
+fn operation(terms: Value) -> Operation {
     let change = json!({ "zones": [{ "name": "z", "state": "open" }], "terms": terms });
     Operation::Patch(change.to_string().into_bytes())
 }
 
 /// A change that builds on edition `base` and names the next one.
 fn order(base: u64) -> Operation {
-    deed(json!({ "after": base, "edition": base + 1 }))
+    operation(json!({ "after": base, "edition": base + 1 }))
 }
 
 /// Sends the order on edition `base` under its own request id.
@@ -88,11 +88,11 @@
     c: &mut Cluster,
     request: &str,
     expect: Option<u64>,
-    deed: &Operation,
+    operation: &Operation,
 ) -> Vec<OperationResult> {
     let mut out = Vec::new();
     for node in 0..3 {
-        let op = call(c, node, request, expect, deed.clone());
+        let op = call(c, node, request, expect, operation.clone());
         let told = pass_until(c, SECOND, |c| c.told.contains_key(&op));
         assert!(told, "{request} at {node} is not answered within a second");
         out.push(c.told[&op].clone());
@@ -131,7 +131,7 @@
         expect_that!(done, each(unclear), "{base}");
     }
     // What can never have been accepted is refused, however old its base.
-    let wrong = deed(json!({ "after": 5, "edition": 5 }));
+    let wrong = operation(json!({ "after": 5, "edition": 5 }));
     let done = everywhere(&mut c, "wrong", None, &wrong);
     expect_that!(done, each(matches_pattern!(OperationResult::Conflict { .. })));
     let unreadable = Operation::Patch(b"{".to_vec());
@@ -142,7 +142,7 @@
 #[googletest::test]
 fn orders_that_name_a_revision_or_only_their_own_edition() {
     let (mut c, horizon) = long_running();
-    let plain = deed(json!({}));
+    let plain = operation(json!({}));
     for (expect, clear) in [(1, false), (horizon - 1, false), (horizon, true), (15_000, true)] {
         let done = everywhere(&mut c, &format!("expects-{expect}"), Some(expect), &plain);
         if clear {
@@ -159,7 +159,7 @@
         }
     }
     for (edition, clear) in [(1, false), (horizon, false), (horizon + 1, true), (ACCEPTED, true)] {
-        let names = deed(json!({ "edition": edition }));
+        let names = operation(json!({ "edition": edition }));
         let done = everywhere(&mut c, &format!("names-{edition}"), None, &names);
         if clear {
             expect_that!(done, each(matches_pattern!(OperationResult::Invalid(_))), "{edition}");
@@ -172,7 +172,8 @@
         }
     }
     // The newest revision and edition are judged as ever.
-    let done = answer(&mut c, 1, "next", Some(ACCEPTED), deed(json!({ "edition": ACCEPTED + 7 })));
+    let done =
+        answer(&mut c, 1, "next", Some(ACCEPTED), operation(json!({ "edition": ACCEPTED + 7 })));
     expect_that!(
         done,
         some(matches_pattern!(OperationResult::Accepted { is_repeat: eq(&false), .. }))
@@ -253,7 +254,7 @@
         _ => unreachable!(),
     });
     for _ in 0..2 {
-        for other in [order(1), whole.clone(), deed(json!({}))] {
+        for other in [order(1), whole.clone(), operation(json!({}))] {
             let done = everywhere(&mut c, "id", None, &other);
             expect_that!(done, each(matches_pattern!(OperationResult::Invalid(_))));
         }
@@ -269,7 +270,7 @@
         cluster::pass(&mut c, SECOND);
     }
     // At one moment through two controllers: one text wins, the other is refused.
-    let texts = [order(1), deed(json!({ "after": 1, "edition": 9 }))];
+    let texts = [order(1), operation(json!({ "after": 1, "edition": 9 }))];
     let [a, b] = [0, 1].map(|node: usize| call(&mut c, node, "new", None, texts[node].clone()));
     assert!(pass_until(&mut c, 5 * SECOND, |c| [a, b].iter().all(|op| c.told.contains_key(op))));
     let mut told = [c.told[&a].clone(), c.told[&b].clone()];
--- a/crates/core/tests/races/mod.rs
+++ b/crates/core/tests/races/mod.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
     pub request: String,
-    pub deed: Operation,
+    pub operation: Operation,
     /// A zone that only this order sets.
     pub mark: String,
 }
@@ -41,8 +41,8 @@
     let text = change.to_string();
     let request = digest(format!("{whole} {text}").as_bytes());
     let text = text.into_bytes();
-    let deed = if whole { Operation::Replace(text) } else { Operation::Patch(text) };
-    Order { request, deed, mark: mark.to_string() }
+    let operation = if whole { Operation::Replace(text) } else { Operation::Patch(text) };
+    Order { request, operation, mark: mark.to_string() }
 }
 
 /// How far the write of an order gets before the fault.
@@ -145,7 +145,7 @@
 pub fn play(race: &Race) -> Outcome {
     let mut c = cluster(3);
     let base = order(true, Some(0), 1, "base");
-    let done = answer(&mut c, 0, &base.request, None, base.deed);
+    let done = answer(&mut c, 0, &base.request, None, base.operation);
     assert!(matches!(done, Some(OperationResult::Accepted { .. })), "{done:?}");
     let old_leader = leader(&c).unwrap();
     let at = |distance: usize| (old_leader + distance) % 3;
@@ -168,7 +168,7 @@
 }
 
 pub fn send(c: &mut Cluster, node: usize, order: &Order) -> u64 {
-    call(c, node, &order.request, None, order.deed.clone())
+    call(c, node, &order.request, None, order.operation.clone())
 }
 
 /// Does the work of an order up to a stage.
--- a/crates/core/tests/retry_after.rs
+++ b/crates/core/tests/retry_after.rs
@@ -12,13 +12,13 @@
 /// `each`th was sent away.
 fn told(n: u64, each: u64, why: RejectionReason, rest: u64, after: u64) -> (u64, u64) {
     let mut s = LoadPressure::default();
-    let mut luck = Random::new(5);
+    let mut random = Random::new(5);
     for i in 0..n {
         s.record(ms(1_000 + i), i % each == 0);
     }
     let now = ms(1_000 + n) + after;
     let all: Vec<u64> =
-        (0..200).map(|_| s.retry_after_seconds(now, why, rest, &mut luck)).collect();
+        (0..200).map(|_| s.retry_after_seconds(now, why, rest, &mut random)).collect();
     (*all.iter().min().unwrap(), *all.iter().max().unwrap())
 }
 
--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -12,7 +12,7 @@
 /// Most second tries over the allowance in any 10 s, for `n` threads whose
 /// traffic comes and goes and who would retry every single dispatch.
 fn worst(seed: u64, n: usize, slack_each: impl Fn(usize) -> u64) -> i64 {
-    let mut luck = Random::new(seed);
+    let mut random = Random::new(seed);
     let mut rules: Vec<_> = (0..n).map(|_| RetryBudget::new(0)).collect();
     for (i, r) in rules.iter_mut().enumerate() {
         r.set_slack(slack_each(i));
@@ -22,10 +22,10 @@
     for tick in 0..60_000u64 {
         let now = ms(tick);
         if tick % 1_500 == 0 {
-            busy = luck.chance(2, 3);
+            busy = random.chance(2, 3);
         }
-        let i = luck.below(n as u64) as usize;
-        if busy && luck.chance(1, 2) {
+        let i = random.below(n as u64) as usize;
+        if busy && random.chance(1, 2) {
             rules[i].record_first_attempt(now);
             firsts.push(now);
         }
--- a/crates/core/tests/service_retry_budget.rs
+++ b/crates/core/tests/service_retry_budget.rs
@@ -22,22 +22,22 @@
 /// Nodes that would try every call again, under traffic that comes and goes;
 /// `restarts` of a thousand steps start a node anew.
 fn run(seed: u64, n: usize, rate: RetryRate, restarts: u64) -> Seen {
-    let mut luck = Random::new(seed);
+    let mut random = Random::new(seed);
     let mut nodes: Vec<ServiceRetryBudget> = (0..n).map(|_| fresh(rate, n)).collect();
     let mut seen = Seen { firsts: Vec::new(), seconds: Vec::new() };
     let (mut busy, mut hungry) = (true, true);
     for now in 0..60_000u64 {
         if now % 700 == 0 {
-            busy = luck.chance(2, 3);
+            busy = random.chance(2, 3);
             // Times in which nobody tries again, so that all is saved up.
-            hungry = luck.chance(1, 2);
+            hungry = random.chance(1, 2);
         }
-        if luck.chance(restarts, 1_000) {
-            let i = luck.below(n as u64) as usize;
+        if random.chance(restarts, 1_000) {
+            let i = random.below(n as u64) as usize;
             nodes[i] = fresh(rate, n);
         }
         // Clients are not spread evenly over the nodes.
-        let i = luck.below(n as u64).min(luck.below(n as u64)) as usize;
+        let i = random.below(n as u64).min(random.below(n as u64)) as usize;
         if busy {
             nodes[i].record_first_attempt("s");
             seen.firsts.push(now);
--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -58,7 +58,7 @@
     // Guards against leafs that fall over while they warm up: the platform
     // bears half as much again, and five more.
     for seed in 0..40 {
-        let mut luck = Random::new(seed);
+        let mut random = Random::new(seed);
         // Thousandths of a dispatch a second, from very few to many.
         let rate = [200, 1_000, 2_500, 8_000, 60_000][seed as usize % 5];
         let mut l = LeafState::new("i", BOOT);
@@ -66,8 +66,8 @@
         let mut sent: Vec<Tick> = Vec::new();
         let mut eager = true;
         for _ in 0..20_000 {
-            now += luck.below(ms(4));
-            if luck.chance(1, 400) {
+            now += random.below(ms(4));
+            if random.chance(1, 400) {
                 eager = !eager;
             }
             while eager && l.slow_start_allowance(rate, now) >= 1_000 {
--- a/crates/server/tests/connections.rs
+++ b/crates/server/tests/connections.rs
@@ -82,11 +82,11 @@
 /// work, after it has read it, or after it has answered.
 async fn flaky(listener: tokio::net::TcpListener, name: &str, heard: &RefCell<Heard>) {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut luck = grebepath_core::random::Random::new(11);
+    let mut random = grebepath_core::random::Random::new(11);
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let last = luck.below(4);
-        let how = luck.below(2);
+        let last = random.below(4);
+        let how = random.below(2);
         let (mut raw, mut served) = (Vec::new(), 0);
         loop {
             let mut part = [0u8; 4096];
