--- a/crates/server/src/mock_backends/main.rs
+++ b/crates/server/src/mock_backends/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the outside: back ends with the platform's list, and callers.
 
 mod cli;
+mod error;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 use testbed::control_listener;
 use testbed::mock_backends::MockBackends;
 
+use crate::error::MockBackendsError;
+
 fn main() {
     let verb = cli::read();
     let rt = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
@@ -30,8 +33,8 @@
             local.block_on(&rt, run_callers(spec, targets, list, seconds, factor, seed))
         }
     };
-    if let Err(e) = end {
-        fail(&e);
+    if let Err(error) = end {
+        fail(&error.to_string());
     }
 }
 
@@ -40,11 +43,11 @@
     std::process::exit(1);
 }
 
-async fn serve_backs(file: String, listen: SocketAddr, seed: u64) -> Result<(), String> {
-    let spec = spec::read(&file).map_err(|e| e.to_string())?;
-    let backs = MockBackends::start(&spec, seed).await.map_err(|e| e.to_string())?;
-    let door = tokio::net::TcpListener::bind(listen).await.map_err(|e| e.to_string())?;
-    let addr = door.local_addr().map_err(|e| e.to_string())?;
+async fn serve_backs(file: String, listen: SocketAddr, seed: u64) -> Result<(), MockBackendsError> {
+    let spec = spec::read(&file)?;
+    let backs = MockBackends::start(&spec, seed).await?;
+    let door = tokio::net::TcpListener::bind(listen).await?;
+    let addr = door.local_addr()?;
     println!("mock-backends list {addr} leafs {}", backs.borrow().leafs.len());
     tokio::select! {
         _ = control_listener::serve(door, backs) => {}
@@ -60,8 +63,8 @@
     seconds: u64,
     factor: f64,
     seed: u64,
-) -> Result<(), String> {
-    let spec = spec::read(&file).map_err(|e| e.to_string())?;
+) -> Result<(), MockBackendsError> {
+    let spec = spec::read(&file)?;
     let http = grebepath_runtime::http::client::HttpClient::new(64);
     let seen = Rc::new(RefCell::new(Seen::default()));
     let ready = Rc::new(RefCell::new(targets.clone()));
@@ -81,7 +84,7 @@
         loads.push(tokio::task::spawn_local(task));
     }
     for task in loads {
-        task.await.map_err(|e| e.to_string())?;
+        task.await?;
     }
     let runs = match list {
         Some(addr) => fetch_runs(&http, addr).await?,
@@ -90,7 +93,7 @@
     let report = callers::report(&seen.borrow(), &runs);
     println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
     if report["violations"].as_u64() != Some(0) {
-        return Err("answers broke their promises; see `first`".into());
+        return Err(MockBackendsError::BrokenPromises);
     }
     Ok(())
 }
@@ -98,11 +101,9 @@
 async fn fetch_runs(
     http: &grebepath_runtime::http::client::HttpClient,
     addr: SocketAddr,
-) -> Result<Vec<Value>, String> {
-    let req = Request::get(format!("http://{addr}/runs"))
-        .body(Full::default())
-        .map_err(|e| e.to_string())?;
+) -> Result<Vec<Value>, MockBackendsError> {
+    let req = Request::get(format!("http://{addr}/runs")).body(Full::default())?;
     let wait = Duration::from_secs(30);
-    let resp = http.call_within(req, 1 << 30, wait).await.map_err(|e| e.to_string())?;
-    serde_json::from_slice(resp.body()).map_err(|e| e.to_string())
+    let resp = http.call_within(req, 1 << 30, wait).await?;
+    Ok(serde_json::from_slice(resp.body())?)
 }
--- a/crates/simulator/src/scale_model/cli.rs
+++ b/crates/simulator/src/scale_model/cli.rs
@@ -1,7 +1,10 @@
 //! The flags of `scale-model`, and its run.
 
+use std::num::ParseIntError;
+
 use bpaf::{OptionParser, Parser, construct, long};
 use grebepath_core::time::SECOND;
+use thiserror::Error;
 
 use crate::scale_model::fan_out;
 use crate::scale_model::measure::{Measurements, measure};
@@ -18,16 +21,36 @@
     sizes: Vec<Size>,
 }
 
+/// Why a size can't be read.
+#[derive(Debug, Error)]
+enum SizeError {
+    /// A count is no whole number.
+    #[error("`{text}`: {source}")]
+    NotANumber {
+        /// What stands there.
+        text: String,
+        /// What is wrong with it.
+        source: ParseIntError,
+    },
+    /// A count is zero.
+    #[error("a size needs members and leafs")]
+    Empty,
+}
+
+fn count(text: &str) -> Result<usize, SizeError> {
+    text.parse().map_err(|source| SizeError::NotANumber { text: text.to_string(), source })
+}
+
 /// `members` or `members:leafs`; leafs in the proportion of issue 11 if unsaid.
-fn size(text: String) -> Result<Size, String> {
+fn size(text: String) -> Result<Size, SizeError> {
     let (members, leafs) = text.split_once(':').unwrap_or((&text, ""));
-    let members: usize = members.parse().map_err(|e| format!("`{members}`: {e}"))?;
+    let members = count(members)?;
     let leafs = match leafs {
         "" => members * 5_300 / 1_200,
-        n => n.parse().map_err(|e| format!("`{n}`: {e}"))?,
+        named => count(named)?,
     };
     if members == 0 || leafs == 0 {
-        return Err("a size needs members and leafs".into());
+        return Err(SizeError::Empty);
     }
     Ok(Size { members, leafs })
 }
