--- a/crates/server/src/controller/confirmation.rs
+++ b/crates/server/src/controller/confirmation.rs
@@ -80,9 +80,9 @@
     pub address: IpAddr,
     /// What the sender calls this controller.
     pub host: String,
-    /// Method and path of the order.
+    /// The order's method.
     pub method: String,
-    /// The path.
+    /// The order's path, without its query.
     pub path: String,
     /// The confirmation that came with it.
     pub confirmation: Option<Confirmation>,
