--- a/crates/core/tests/unconditional_orders.rs
+++ b/crates/core/tests/unconditional_orders.rs
@@ -105,7 +105,7 @@
 
 #[googletest::test]
 fn an_order_held_between_controllers_is_refused_after_later_ones() {
-    // Guards against a taken-back evacuation that arrives in the same term and opens the zone.
+    // Guards against a drained zone that is opened by an order which arrives late in the same term.
     let (ends_drained, done) = hold_an_order(OrderTie::Revision);
     expect_that!(ends_drained, eq(true));
     expect_that!(done, matches_pattern!(OperationResult::Conflict { .. }));
--- a/crates/server/tests/held_orders.rs
+++ b/crates/server/tests/held_orders.rs
@@ -27,7 +27,7 @@
 
 #[googletest::test]
 fn an_order_that_a_relay_held_is_not_carried_out_after_later_ones_of_its_sender() {
-    // Guards against a taken-back evacuation that a healed cut takes back once more.
+    // Guards against a drained zone that an order opens which a healed cut lets go.
     block(async {
         let cluster = LocalCluster::up(layout("held-orders", "mohalla", 1)).await.unwrap();
         let [leader, other, third] = leader_first(&cluster).await;
