Send requests only to leafs of the version that is in force

The leader of a service's partition records the version that the list names first, in the same change as the first leafs that have one, so whoever knows such a leaf knows it too.

Weighed: the version that a node sees first (differs between nodes), and the version in the configuration (nobody writes it there before an order).

--- a/crates/core/src/control_plane/endpoints.rs
+++ b/crates/core/src/control_plane/endpoints.rs
@@ -14,6 +14,7 @@
 use crate::protocol::message::LeafReport;
 use crate::replication::leader::Leader;
 use crate::replication::partition::Partition;
+use crate::rollout::first_version::missing_first_versions;
 use crate::snapshot::leafs::{LeafInfo, key, leafs_in};
 use crate::time::{MILLI, SECOND, Span, Tick, since};
 use crate::voter_set::VoterGroup;
@@ -60,6 +61,8 @@
 ) {
     let id = partition.id;
     let known = leafs_in(&partition.state.entries);
+    let named = known.values().chain(&list).filter(|info| part_of(&info.service) == id);
+    let first_versions = missing_first_versions(&partition.state.entries, named);
     let Some(leader) = partition.leader_mut() else { return };
     if !leader.is_serving {
         return;
@@ -74,7 +77,8 @@
         .filter(|info| part_of(&info.service) == id)
         .map(|info| (info.leaf.clone(), info))
         .collect();
-    let mut entries = listed_entries(&list, &known);
+    let mut entries = first_versions;
+    entries.extend(listed_entries(&list, &known));
     entries.extend(removed_entries(leader, now, &list, &known));
     change_if_any(partition, now, group, entries, commands);
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod quorum;
 pub mod random;
 pub mod replication;
+pub mod rollout;
 pub mod routing_language;
 pub mod snapshot;
 pub mod storage;
--- a/crates/core/src/membership/node_agent.rs
+++ b/crates/core/src/membership/node_agent.rs
@@ -18,6 +18,7 @@
 use crate::protocol::message::{FeedPosition, LeafReport, Message};
 use crate::protocol::replica::EntryMap;
 use crate::query::engine::ServingState;
+use crate::rollout::record::Rollout;
 use crate::snapshot::cluster_view::ClusterView;
 use crate::snapshot::leafs::LeafInfo;
 use crate::time::{Span, Tick, ms};
@@ -49,6 +50,10 @@
     pub is_caught_up: bool,
     /// The configuration that is obeyed.
     pub configuration: Arc<RoutingTable>,
+    /// Leafs of versions that are not in force (count).
+    pub withheld_leafs: usize,
+    /// The newest rollout of each service, by the configuration that is obeyed.
+    pub rollouts: Vec<Rollout>,
     /// Revision of `configuration`; zero before the first.
     pub configuration_revision: u64,
     /// The view that the traffic threads were last given.
@@ -271,6 +276,8 @@
             voter_set_stamp: stamp(&VoterSet::default()),
             is_caught_up: false,
             configuration: Arc::new(RoutingTable::default()),
+            withheld_leafs: 0,
+            rollouts: Vec::new(),
             configuration_revision: 0,
             view: None,
             view_is_stale: false,
--- a/crates/core/src/membership/updates.rs
+++ b/crates/core/src/membership/updates.rs
@@ -9,6 +9,8 @@
 use crate::membership::node_agent::{Command, NodeAgent};
 use crate::protocol::message::{FeedPosition, Message};
 use crate::protocol::replica::EntryMap;
+use crate::rollout::record::rollouts_in;
+use crate::rollout::versions::VersionsInForce;
 use crate::snapshot::cluster_view::ClusterView;
 use crate::snapshot::leafs::{LeafInfo, leafs_in};
 use crate::storage::record::apply_entries;
@@ -61,9 +63,11 @@
         let Some(state) = self.partitions.get(&CONFIG) else { return };
         let revision = state.revision;
         let built = build_configuration(&state.entries);
+        let rollouts = rollouts_in(&state.entries).collect();
         self.learn_revision(revision);
         match built {
             Ok(configuration) => {
+                self.rollouts = rollouts;
                 self.configuration = Arc::new(configuration);
                 self.configuration_revision = revision;
             }
@@ -165,14 +169,21 @@
         commands.push(Command::ClusterView(view));
     }
 
-    fn build_view(&self) -> ClusterView {
-        let leafs = partitions()
-            .filter(|id| *id != CONFIG)
-            .filter_map(|id| self.partitions.get(&id))
+    fn build_view(&mut self) -> ClusterView {
+        let services = || {
+            let of_services = partitions().filter(|id| *id != CONFIG);
+            of_services.filter_map(|id| self.partitions.get(&id))
+        };
+        let leafs = services()
             .flat_map(|state| leafs_in(&state.entries).into_values())
             .filter_map(|info| self.with_reports(info))
             .collect();
-        ClusterView::new(self.configuration_revision, self.configuration.clone(), leafs)
+        let services_entries = services().map(|state| &state.entries);
+        let versions = VersionsInForce::in_partitions(services_entries, self.rollouts.iter());
+        let split = versions.split_leafs(leafs);
+        self.withheld_leafs = split.others.len();
+        let (revision, configuration) = (self.configuration_revision, self.configuration.clone());
+        ClusterView::new(revision, configuration, split.in_force)
     }
 
     fn note_searches_served(&mut self, now: Tick, view: &ClusterView) {
--- a/crates/core/src/snapshot/leafs.rs
+++ b/crates/core/src/snapshot/leafs.rs
@@ -28,6 +28,9 @@
     pub cold: bool,
 }
 
+/// Label that holds the version of a leaf's software, if the list tells it.
+pub const VERSION_LABEL: &str = "version";
+
 /// Key prefix of leafs within a part of services.
 pub const LEAF: &str = "leaf/";
 
@@ -41,6 +44,11 @@
     pub fn zone(&self) -> &str {
         self.labels.get("zone").map_or("", String::as_str)
     }
+
+    /// The version of the leaf's software, empty if the list does not tell it.
+    pub fn version(&self) -> &str {
+        self.labels.get(VERSION_LABEL).map_or("", String::as_str)
+    }
 }
 
 /// The leafs that a map holds; entries that can't be read are passed over.
