Take orders to move a service to another version, and end them at their term

What comes without an id is confirmed as other orders are; the fence is the rollout of that service, so that other changes don't starve it. Its time is agreed: it lies in the entry, each controller adds how long it has known it. A rollout without a verdict goes back an eighth of its term before the end; 'returned' is written once no member may go by what was before, by its word or because its lease has ended. The new version gets no request yet.

grebectl rollout start|status|abort|history, /v1/rollouts, grebe_rollout_phase, and grebe_operator_answers_total{status}, which tells the three hypotheses of the incident apart.

--- a/crates/core/src/control_plane/acceptance.rs
+++ b/crates/core/src/control_plane/acceptance.rs
@@ -68,11 +68,34 @@
 impl Members {
     /// Whether a revision may be told as accepted once it is committed.
     fn have_accepted(&self, now: Tick, revision: u64) -> bool {
+        self.are_known() && self.is_safe(now, revision) && self.is_in_force(now, revision)
+    }
+
+    /// Whether no member goes by anything older than a committed revision: each obeys it, or
+    /// its lease has ended and it can't prove that nothing newer was accepted.
+    pub(super) fn none_goes_by_older(&self, now: Tick, revision: u64) -> bool {
+        self.are_known() && self.is_safe(now, revision) && self.is_fenced(now, revision)
+    }
+
+    /// Whether we know all members: a leader that nobody handed a membership down to gathers
+    /// them first.
+    fn are_known(&self) -> bool {
         let Some((term, _)) = self.leadership else { return false };
-        // A leader that nobody handed a membership down to gathers members first.
-        let knows_members =
-            self.log.is_inherited() && (!self.gathering || self.membership.term == term);
-        knows_members && self.is_safe(now, revision) && self.is_in_force(now, revision)
+        self.log.is_inherited() && (!self.gathering || self.membership.term == term)
+    }
+
+    /// Whether every lease names this revision, or has ended.
+    fn is_fenced(&self, now: Tick, revision: u64) -> bool {
+        let committed_at = self.commit_times.committed_at(revision);
+        if committed_at.is_some_and(|at| since(at, now) >= consts::TENURE) {
+            return true;
+        }
+        let obeys =
+            |heard: &LastRenewal| heard.has_renewed && heard.progress.obeyed_revision >= revision;
+        let may_serve = |heard: &&LastRenewal| {
+            !self.is_gone(&heard.member) && since(heard.at, now) < consts::TENURE
+        };
+        committed_at.is_some() && self.last_renewals.values().filter(may_serve).all(obeys)
     }
 
     /// Whether nobody can serve on by an older revision for longer than a lease.
--- a/crates/core/src/control_plane/controller.rs
+++ b/crates/core/src/control_plane/controller.rs
@@ -8,6 +8,7 @@
 use crate::control_plane::counters::Counters;
 use crate::control_plane::members::Members;
 use crate::control_plane::pending_requests::{ForwardedOperation, PendingRequest};
+use crate::control_plane::rollout_clock::RolloutClock;
 use crate::identifiers::{PartitionId, VoterSlot, partitions};
 use crate::protocol::message::Message;
 use crate::protocol::operation::Operation;
@@ -62,6 +63,8 @@
     pub scrub_at: Tick,
     /// Index of that partition.
     pub scrub_next: usize,
+    /// How long each rollout has been as it is.
+    pub rollout_clock: RolloutClock,
     /// Our random numbers: jitter, nonces, replica ids.
     pub random: Random,
     /// What the metrics show.
@@ -201,6 +204,7 @@
             attempts_seen: IndexSet::new(),
             scrub_at: now + SCRUB_INTERVAL,
             scrub_next: 0,
+            rollout_clock: RolloutClock::default(),
             counters: Counters::default(),
         }
     }
--- a/crates/core/src/control_plane/mod.rs
+++ b/crates/core/src/control_plane/mod.rs
@@ -5,7 +5,8 @@
 //! just the parts they need: [`order_memory`], [`commit_times`], [`counters`], [`membership_log`],
 //! [`members`] and what is done to [`members::Members`] (`membership_replication`,
 //! `membership_issue`, `retirement`, [`acceptance`], [`forgotten_members`]),
-//! [`endpoints`], [`feed`], [`operations`], [`pending_requests`], [`rejection`]. Above them
+//! [`endpoints`], [`feed`], [`rollout_clock`], `rollout_orders`, [`operations`],
+//! [`pending_requests`], [`rejection`]. Above them
 //! [`controller`] has the whole state of a controller, and the modules above that
 //! what needs several of its parts, a concern each; [`step`] dispatches the events.
 
@@ -35,6 +36,9 @@
 pub mod pending_requests;
 pub mod rejection;
 mod retirement;
+pub mod rollout_clock;
+mod rollout_orders;
+mod rollout_progress;
 mod slot_takeover;
 pub mod step;
 mod subscriptions;
--- a/crates/core/src/control_plane/operation_forwarding.rs
+++ b/crates/core/src/control_plane/operation_forwarding.rs
@@ -133,7 +133,8 @@
                 commands,
             );
         }
-        operations::execute(&mut self.partitions[0], now, group, origin, &request, commands);
+        let (configuration, clock) = (&mut self.partitions[0], &self.rollout_clock);
+        operations::execute(configuration, now, group, origin, &request, clock, commands);
     }
 
     /// We came to a voter slot or lost ours: what is answered to us under our former
@@ -245,7 +246,9 @@
         self.pending_requests.swap_remove(&op);
         match done {
             OperationResult::Accepted { .. } => self.counters.accepted += 1,
-            OperationResult::Configuration { .. } | OperationResult::Status { .. } => {}
+            OperationResult::Configuration { .. }
+            | OperationResult::Status { .. }
+            | OperationResult::Rollout(_) => {}
             _ => self.counters.rejected += 1,
         }
         commands.push(Command::Respond { op, done });
--- a/crates/core/src/control_plane/operations.rs
+++ b/crates/core/src/control_plane/operations.rs
@@ -7,8 +7,12 @@
 use crate::config::stored::Entry;
 use crate::config::types::{ChangeHeader, Config, Patch};
 use crate::control_plane::order_memory;
-use crate::control_plane::order_memory::{Horizon, OrderBase, Recall, may_be_forgotten};
+use crate::control_plane::order_memory::{
+    Fingerprint, Horizon, OrderBase, Recall, may_be_forgotten,
+};
 use crate::control_plane::rejection::Rejection;
+use crate::control_plane::rollout_clock::RolloutClock;
+use crate::control_plane::rollout_orders;
 use crate::diagnostic::Diagnostic;
 use crate::protocol::operation::{Operation, OperationResult};
 use crate::protocol::replica::EntryMap;
@@ -33,8 +37,7 @@
     /// configuration, and has neither an id nor a revision that it builds on. Its sender may
     /// have sent others since, so no leader carries it out; it is told which revision stands.
     pub fn is_unconditional(&self) -> bool {
-        let changes = self.operation.changes_configuration();
-        changes && self.id.is_empty() && self.expected_revision.is_none()
+        self.operation.is_change() && self.id.is_empty() && self.expected_revision.is_none()
     }
 }
 
@@ -59,12 +62,14 @@
     group: VoterGroup,
     origin: OperationOrigin,
     request: &Request,
+    clock: &RolloutClock,
     commands: &mut Vec<Command>,
 ) {
     let answer = match &request.operation {
         Operation::Read => PendingAnswer::Read,
         // What an operator forgets is up to `forgotten_members`.
         Operation::Status | Operation::ForgetMember(_) => PendingAnswer::Status,
+        Operation::ReadRollout(service) => PendingAnswer::Rollout(service.clone()),
         Operation::Replace(text) => {
             let judged = judge(configuration, request, true, text);
             return carry_out(configuration, now, group, origin, judged, commands);
@@ -73,6 +78,14 @@
             let judged = judge(configuration, request, false, text);
             return carry_out(configuration, now, group, origin, judged, commands);
         }
+        Operation::StartRollout(order) => {
+            let judged = rollout_orders::judge_start(configuration, now, request, order, clock);
+            return carry_out(configuration, now, group, origin, judged, commands);
+        }
+        Operation::AbortRollout(service) => {
+            let judged = rollout_orders::judge_abort(configuration, now, request, service, clock);
+            return carry_out(configuration, now, group, origin, judged, commands);
+        }
     };
     configuration.add_pending(now, group, origin, answer, commands);
 }
@@ -106,7 +119,7 @@
 }
 
 /// What an order comes to by our newest state.
-enum Judged {
+pub(super) enum Judged {
     /// It changes these entries.
     Change(Vec<Entry>),
     /// It was made as this revision when it came before.
@@ -117,18 +130,10 @@
 
 /// Judges a change by our newest state.
 fn judge(p: &Partition, request: &Request, whole: bool, text: &[u8]) -> Judged {
-    if request.is_unconditional() {
-        return Judged::Refused(OperationResult::Conflict { revision: p.state.revision });
-    }
     let map = &p.state.entries;
     let order = order_memory::fingerprint(&request.id, whole, text);
-    match order_memory::recall(map, &request.id, &order) {
-        Recall::Accepted { revision } => return Judged::Made { revision },
-        Recall::OtherText => {
-            let text = "this request id was used for another request".to_string();
-            return Judged::Refused(OperationResult::Invalid(vec![("request".into(), text)]));
-        }
-        Recall::Absent => {}
+    if let Some(judged) = judge_copy(p, request, &order) {
+        return judged;
     }
     if request.expected_revision.is_some_and(|want| want != p.state.revision) {
         let base = OrderBase { revision: request.expected_revision, ..OrderBase::default() };
@@ -147,6 +152,21 @@
     Judged::Change(entries)
 }
 
+/// What an order comes to that nothing tells from a copy which comes late, or that came before.
+pub(super) fn judge_copy(p: &Partition, request: &Request, order: &Fingerprint) -> Option<Judged> {
+    if request.is_unconditional() {
+        return Some(Judged::Refused(OperationResult::Conflict { revision: p.state.revision }));
+    }
+    match order_memory::recall(&p.state.entries, &request.id, order) {
+        Recall::Accepted { revision } => Some(Judged::Made { revision }),
+        Recall::OtherText => {
+            let text = "this request id was used for another request".to_string();
+            Some(Judged::Refused(OperationResult::Invalid(vec![("request".into(), text)])))
+        }
+        Recall::Absent => None,
+    }
+}
+
 /// What a request comes to.
 enum Planned {
     /// The entries that it changes, and the edition that stands then.
--- a/crates/core/src/control_plane/pending_requests.rs
+++ b/crates/core/src/control_plane/pending_requests.rs
@@ -128,6 +128,7 @@
             OperationResult::Accepted { .. }
             | OperationResult::Configuration { .. }
             | OperationResult::Status { .. }
+            | OperationResult::Rollout(_)
             | OperationResult::Unknown { .. } => done,
             OperationResult::Rejected { why } if self.may_be_applied => {
                 OperationResult::Unknown { why }
@@ -148,7 +149,7 @@
             None if !self.may_be_applied => {
                 OperationResult::Rejected { why: Rejection::NoLeader.to_string() }
             }
-            _ if matches!(self.operation, Operation::Read | Operation::Status) => {
+            _ if self.operation.is_read() => {
                 OperationResult::Rejected { why: Rejection::ReadTimedOut.to_string() }
             }
             _ => {
--- a/crates/core/src/control_plane/step.rs
+++ b/crates/core/src/control_plane/step.rs
@@ -94,6 +94,7 @@
         }
         self.wake_scrub(now, commands);
         self.wake_members(now, commands);
+        self.wake_rollouts(now, commands);
         self.wake_requests(now, commands);
     }
 
--- a/crates/core/src/http_api/mod.rs
+++ b/crates/core/src/http_api/mod.rs
@@ -5,3 +5,4 @@
 pub mod leaf;
 pub mod list;
 pub mod operator;
+pub mod rollout;
--- a/crates/core/src/protocol/message_shapes.rs
+++ b/crates/core/src/protocol/message_shapes.rs
@@ -42,7 +42,27 @@
 const EMPTY: &[Shape] = &[];
 const CONDITION: Shape = Variants(&[EMPTY, EMPTY, EMPTY]);
 
-const OPERATION: Shape = Variants(&[&[Bytes], &[Bytes], EMPTY, EMPTY, &[Text]]);
+/// An order to move a service to another version.
+const ROLLOUT_ORDER: Shape = Fields(&[Text, Text, U64]);
+/// The number of a `prost` enumeration's variant.
+const ENUMERATION: Shape = Number(4);
+const FORMER_ROLLOUT: Shape = Fields(&[Text, U64, ENUMERATION, ENUMERATION, U64]);
+const ROLLOUT: Shape = Fields(&[
+    Text,
+    Text,
+    U64,
+    ENUMERATION,
+    U64,
+    U64,
+    U64,
+    U64,
+    Text,
+    ENUMERATION,
+    List(&FORMER_ROLLOUT),
+]);
+
+const OPERATION: Shape =
+    Variants(&[&[Bytes], &[Bytes], EMPTY, EMPTY, &[Text], &[ROLLOUT_ORDER], &[Text], &[Text]]);
 const OPERATION_RESULT: Shape = Variants(&[
     &[U64, U32, BOOL],
     &[U64, ENTRY_MAP],
@@ -52,6 +72,8 @@
     &[Text],
     &[Text],
     &[U64, U64],
+    &[Maybe(&ROLLOUT)],
+    &[Text],
 ]);
 
 /// A message between processes.
--- a/crates/core/src/protocol/operation.rs
+++ b/crates/core/src/protocol/operation.rs
@@ -4,6 +4,8 @@
 
 use crate::protocol::membership::{MemberProgress, Membership};
 use crate::protocol::replica::EntryMap;
+use crate::rollout::order::RolloutOrder;
+use crate::rollout::record::Rollout;
 
 /// What an operator's request asks.
 #[derive(Clone, Debug, PartialEq, DeBin, SerBin)]
@@ -19,12 +21,32 @@
     Status,
     /// This member is down for good: don't count it any more.
     ForgetMember(String),
+    /// Move a service to another version.
+    StartRollout(RolloutOrder),
+    /// End the rollout of this service, with the version in force that was before.
+    AbortRollout(String),
+    /// Read the newest rollout of this service.
+    ReadRollout(String),
 }
 
 impl Operation {
-    /// Whether it changes the configuration.
-    pub fn changes_configuration(&self) -> bool {
-        matches!(self, Operation::Replace(_) | Operation::Patch(_))
+    /// Whether it changes what is agreed on: the configuration, or a rollout.
+    pub fn is_change(&self) -> bool {
+        match self {
+            Operation::Replace(_)
+            | Operation::Patch(_)
+            | Operation::StartRollout(_)
+            | Operation::AbortRollout(_) => true,
+            Operation::Read
+            | Operation::Status
+            | Operation::ForgetMember(_)
+            | Operation::ReadRollout(_) => false,
+        }
+    }
+
+    /// Whether it only asks, so that it may be asked again at any time.
+    pub fn is_read(&self) -> bool {
+        matches!(self, Operation::Read | Operation::Status | Operation::ReadRollout(_))
     }
 }
 
@@ -79,4 +101,11 @@
         /// The edition that stood then.
         edition: u64,
     },
+    /// The newest rollout of a service; `None` if there was none.
+    Rollout(Option<Rollout>),
+    /// Another rollout of the service goes on.
+    RolloutInProgress {
+        /// The version that it moves to.
+        target: String,
+    },
 }
--- a/crates/core/src/replication/operations.rs
+++ b/crates/core/src/replication/operations.rs
@@ -82,4 +82,6 @@
     Read,
     /// The members, as the leader knows them then.
     Status,
+    /// The newest rollout of this service, as it is committed then.
+    Rollout(String),
 }
--- a/crates/core/src/replication/pending_operations.rs
+++ b/crates/core/src/replication/pending_operations.rs
@@ -20,6 +20,7 @@
 use crate::replication::partition::{Partition, Role};
 use crate::replication::private_entries::public_entries;
 use crate::replication::timing::OPERATION_PATIENCE;
+use crate::rollout::record::rollout_of;
 use crate::time::Tick;
 use crate::voter_set::VoterGroup;
 
@@ -57,7 +58,9 @@
         let Some(leader) = self.leader_mut() else { return };
         let revision = match answer {
             PendingAnswer::Refusal(_) => newest,
-            PendingAnswer::Read | PendingAnswer::Status => leader.committed,
+            PendingAnswer::Read | PendingAnswer::Status | PendingAnswer::Rollout(_) => {
+                leader.committed
+            }
         };
         let (round, until) = (leader.round + 1, now + OPERATION_PATIENCE);
         leader.pending.push(PendingOperation { origin, round, revision, answer, until });
@@ -102,6 +105,9 @@
         PendingAnswer::Read => {
             OperationResult::Configuration { revision, entries: public_entries(committed) }
         }
+        PendingAnswer::Rollout(service) => {
+            OperationResult::Rollout(rollout_of(committed, &service))
+        }
         PendingAnswer::Status => return leader.proved_status.push(operation.origin),
     };
     operation.origin.respond(result, commands);
--- a/crates/server/src/controller/main.rs
+++ b/crates/server/src/controller/main.rs
@@ -4,6 +4,7 @@
 //! Three threads: the main one drives the state machine ([`controller_thread`]), one
 //! writes files ([`disk_thread`]), one serves operators ([`operator_listener`]).
 
+mod answer_counts;
 mod confirmation;
 mod controller_io;
 mod controller_thread;
@@ -15,6 +16,7 @@
 mod operator_listener;
 mod order;
 mod resubmissions;
+mod rollout_listener;
 mod settings;
 mod startup;
 
--- a/crates/server/src/controller/metrics.rs
+++ b/crates/server/src/controller/metrics.rs
@@ -6,8 +6,11 @@
 use grebepath_core::config::route::RoutingTable;
 use grebepath_core::config::types::Config;
 use grebepath_core::control_plane::controller::ControllerState;
+use grebepath_core::http_api::rollout::phase_name;
 use grebepath_core::protocol::replica::ReplicaCondition;
 use grebepath_core::replication::partition::{Partition, Role};
+use grebepath_core::rollout::record::{Rollout, rollouts_in};
+use grebepath_core::rollout::versions::VersionsInForce;
 use grebepath_core::snapshot::cluster_view::ClusterView;
 use grebepath_core::snapshot::leafs::leafs_in;
 use grebepath_core::time::{MILLI, Tick, since};
@@ -69,9 +72,12 @@
     let config = &core.partitions[0];
     let Ok(conf) = Config::from_entries(&config.committed) else { return Vec::new() };
     let Ok(built) = RoutingTable::build(&conf) else { return Vec::new() };
-    let list =
-        core.partitions[1..].iter().flat_map(|p| leafs_in(&p.committed).into_values()).collect();
-    let view = ClusterView::new(config.committed_revision, Arc::new(built), list);
+    let services = || core.partitions[1..].iter().map(|partition| &partition.committed);
+    let rollouts: Vec<Rollout> = rollouts_in(&config.committed).collect();
+    let versions = VersionsInForce::in_partitions(services(), rollouts.iter());
+    let leafs =
+        versions.split_leafs(services().flat_map(|map| leafs_in(map).into_values()).collect());
+    let view = ClusterView::new(config.committed_revision, Arc::new(built), leafs.in_force);
     let mut out = Vec::new();
     for map in view.mappings.values() {
         let bare: Vec<&str> = map
@@ -118,5 +124,20 @@
     for p in &core.partitions {
         let _ = writeln!(out, "grebe_part_role{{part=\"{}\",role=\"{}\"}} 1", p.id, role(p));
     }
+    write_rollouts(&mut out, core);
     out
 }
+
+/// The phase of each service's newest rollout, as this controller has it committed.
+fn write_rollouts(out: &mut String, core: &ControllerState) {
+    let _ = writeln!(out, "# HELP grebe_rollout_phase Phase of a service's newest rollout.");
+    let _ = writeln!(out, "# TYPE grebe_rollout_phase gauge");
+    for rollout in rollouts_in(&core.partitions[0].committed) {
+        let Rollout { service, target, .. } = &rollout;
+        let phase = phase_name(rollout.phase());
+        let _ = writeln!(
+            out,
+            "grebe_rollout_phase{{service=\"{service}\",version=\"{target}\",phase=\"{phase}\"}} 1"
+        );
+    }
+}
--- a/crates/server/src/controller/operator_listener.rs
+++ b/crates/server/src/controller/operator_listener.rs
@@ -8,15 +8,16 @@
 use axum::error_handling::HandleErrorLayer;
 use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::middleware::map_response;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use grebepath_core::config::types::Config;
 use grebepath_core::consts;
 use grebepath_core::diagnostic::Diagnostic;
-use grebepath_core::http_api::operator;
 use grebepath_core::http_api::operator::{
     CONFIG, EXPECT_REVISION, OperatorOutcome, REQUEST_ID, STATUS, write,
 };
+use grebepath_core::http_api::{operator, rollout};
 use grebepath_core::protocol::operation::{Operation, OperationResult};
 use grebepath_runtime::platform_api::{OperatorRequest, PlatformApi};
 use serde_json::{Value, json};
@@ -25,16 +26,19 @@
 use tower::ServiceBuilder;
 use tracing::error;
 
+use crate::answer_counts::AnswerCounts;
 use crate::confirmation::{Confirmation, Sender};
 use crate::messages::ControllerInput;
 use crate::order::Order;
 use crate::resubmissions::{OrderKey, Resubmissions};
+use crate::rollout_listener;
 
 /// The way to the controller's thread.
 #[derive(Clone)]
-struct Controller {
+pub struct Controller {
     inputs: UnboundedSender<ControllerInput>,
     resubmissions: Arc<Resubmissions>,
+    answers: Arc<AnswerCounts>,
 }
 
 /// Serves operators until told to stop.
@@ -48,10 +52,13 @@
         Ok(runtime) => runtime,
         Err(e) => return error!("the operators' door can't be served: {e}"),
     };
-    let controller = Controller { inputs, resubmissions: Arc::default() };
+    let answers: Arc<AnswerCounts> = Arc::default();
+    let counted = answers.clone();
+    let controller = Controller { inputs, resubmissions: Arc::default(), answers };
     let router = Router::new()
         .route(CONFIG, get(read_config).put(replace).patch(patch))
         .route(STATUS, get(status))
+        .merge(rollout_listener::routes())
         .route("/v1/vouch", axum::routing::post(force_recovery))
         .route("/v1/members/{name}", axum::routing::delete(forget_member))
         .route("/metrics", get(metrics))
@@ -70,6 +77,10 @@
                 .load_shed()
                 .concurrency_limit(consts::OPERATORS_AT_ONCE),
         )
+        .layer(map_response(move |response: Response| {
+            counted.record(response.status().as_u16());
+            std::future::ready(response)
+        }))
         .with_state(controller);
     let until = async move {
         let _ = stop.wait_for(|s| *s).await;
@@ -108,7 +119,8 @@
     }
 }
 
-fn answer(code: u16, body: &Value) -> Response {
+/// An answer with a JSON body.
+pub fn answer(code: u16, body: &Value) -> Response {
     let code = StatusCode::from_u16(code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let text = format!("{body}\n");
     (code, [(header::CONTENT_TYPE, "application/json")], text).into_response()
@@ -132,7 +144,7 @@
 }
 
 /// Has a request carried out, and gives its result.
-async fn operate(controller: &Controller, order: Order) -> OperationResult {
+pub async fn operate(controller: &Controller, order: Order) -> OperationResult {
     let Order { request_id, expected_revision, operation } = order;
     let (reply, result) = oneshot::channel();
     let input = ControllerInput::Operate {
@@ -233,7 +245,8 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    change_config(controller, sender, headers, Operation::Replace(body.to_vec()), &body).await
+    let operation = Operation::Replace(body.to_vec());
+    order_from_headers(&controller, &sender, &headers, operation, &body).await
 }
 
 async fn patch(
@@ -242,28 +255,31 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
-    change_config(controller, sender, headers, Operation::Patch(body.to_vec()), &body).await
+    let operation = Operation::Patch(body.to_vec());
+    order_from_headers(&controller, &sender, &headers, operation, &body).await
 }
 
-async fn change_config(
-    controller: Controller,
-    sender: Sender,
-    headers: HeaderMap,
+/// Has an order carried out under the id and the revision that its headers name.
+pub async fn order_from_headers(
+    controller: &Controller,
+    sender: &Sender,
+    headers: &HeaderMap,
     operation: Operation,
     body: &[u8],
 ) -> Response {
-    match request_headers(&headers) {
+    match request_headers(headers) {
         Err(f) => {
             answer(400, &json!({ "error": "bad-request", "findings": operator::findings(&[f]) }))
         }
         Ok((request_id, expected_revision)) => {
             let order = Order { request_id, expected_revision, operation };
-            submit(&controller, &sender, body, order, write_result).await
+            submit(controller, sender, body, order, write_result).await
         }
     }
 }
 
-fn write_result(done: OperationResult) -> Response {
+/// The answer that tells a result in our own form.
+pub fn write_result(done: OperationResult) -> Response {
     let op = match done {
         OperationResult::Accepted { revision, replicas: copies, is_repeat: again } => {
             OperatorOutcome::Accepted { revision, replicas: copies, repeated: again }
@@ -278,6 +294,16 @@
         OperationResult::Forgotten { revision, edition } => {
             OperatorOutcome::Unknown { reason: operator::forgotten(revision, edition) }
         }
+        OperationResult::Rollout(Some(rollout)) => {
+            return answer(200, &rollout::to_json(&rollout));
+        }
+        OperationResult::Rollout(None) => {
+            return answer(404, &json!({ "error": "no rollout of that service" }));
+        }
+        OperationResult::RolloutInProgress { target } => {
+            let error = "another rollout of that service goes on";
+            return answer(409, &json!({ "error": error, "version": target }));
+        }
         OperationResult::Configuration { .. } | OperationResult::Status { .. } => {
             OperatorOutcome::Unknown { reason: "an answer to something else".into() }
         }
@@ -326,5 +352,6 @@
     if controller.inputs.send(ControllerInput::Metrics(reply)).is_err() {
         return answer(503, &json!({ "error": "stopping" }));
     }
-    result.await.unwrap_or_default().into_response()
+    let of_controller = result.await.unwrap_or_default();
+    (of_controller + &controller.answers.render()).into_response()
 }
--- a/crates/server/src/controller/order.rs
+++ b/crates/server/src/controller/order.rs
@@ -21,8 +21,8 @@
         Order { request_id: None, expected_revision: None, operation }
     }
 
-    /// Whether nothing tells a copy of it that comes late from a new order: it changes the
-    /// configuration, brings no id, and names no revision or edition. What can't be read needs
+    /// Whether nothing tells a copy of it that comes late from a new order: it is a change,
+    /// brings no id, and names no revision or edition. What can't be read needs
     /// no confirmation, since it is not carried out.
     pub fn needs_confirmation(&self) -> bool {
         if self.request_id.is_some() || self.expected_revision.is_some() {
@@ -32,9 +32,9 @@
             .is_some_and(|header| header.after.is_none() && header.edition.is_none())
     }
 
-    /// The same under an id of its own, if it changes the configuration and brought none.
+    /// The same under an id of its own, if it is a change and brought none.
     pub fn with_id(mut self) -> Order {
-        if self.operation.changes_configuration() {
+        if self.operation.is_change() {
             self.request_id.get_or_insert_with(new_request_id);
         }
         self
@@ -48,12 +48,16 @@
     }
 }
 
-/// What a change of the configuration says of itself, if it can be read.
+/// What a change says of itself, if it can be read.
 fn change_header(operation: &Operation) -> Option<ChangeHeader> {
     match operation {
         Operation::Replace(text) => Config::from_json(text).ok().map(|config| config.turn),
         Operation::Patch(text) => Patch::from_json(text).ok().map(|patch| patch.set.turn),
-        Operation::Read | Operation::Status | Operation::ForgetMember(_) => None,
+        Operation::StartRollout(_) | Operation::AbortRollout(_) => Some(ChangeHeader::default()),
+        Operation::Read
+        | Operation::Status
+        | Operation::ForgetMember(_)
+        | Operation::ReadRollout(_) => None,
     }
 }
 
--- a/crates/server/src/grebectl/cli.rs
+++ b/crates/server/src/grebectl/cli.rs
@@ -36,6 +36,20 @@
     Forget { member: String },
     Vouch { seat: String },
     Explain { search: String, key: Option<String>, file: Option<String> },
+    Rollout(RolloutVerb),
+}
+
+/// What is wanted of rollouts.
+#[derive(Clone, Debug)]
+pub enum RolloutVerb {
+    /// Move a service to a version.
+    Start { service: String, version: String, over_s: f64 },
+    /// The newest rollout of a service, or of all.
+    Status { service: Option<String> },
+    /// End a rollout with the version in force that was before.
+    Abort { service: String },
+    /// All rollouts of a service that are remembered.
+    History { service: String },
 }
 
 /// The whole command line.
@@ -111,7 +125,43 @@
         .to_options()
         .descr("the plan that a search compiles to")
         .command("explain");
-    construct!([check, apply, patch, get, diff, drain, undrain, status, forget, vouch, explain])
+    let rollout = rollout_verb()
+        .map(Verb::Rollout)
+        .to_options()
+        .descr("move a service to another version")
+        .command("rollout");
+    construct!([
+        check, apply, patch, get, diff, drain, undrain, status, forget, vouch, explain, rollout
+    ])
+}
+
+fn rollout_verb() -> impl Parser<RolloutVerb> {
+    let service = || positional::<String>("SERVICE");
+    let over_s = long("over").help("seconds within which it is to end").argument::<f64>("SECONDS");
+    let version = positional::<String>("VERSION");
+    let start_service = service();
+    let start = construct!(over_s, start_service, version)
+        .map(|(over_s, service, version)| RolloutVerb::Start { service, version, over_s })
+        .to_options()
+        .descr("move a service to the leafs of a version")
+        .command("start");
+    let status = service()
+        .optional()
+        .map(|service| RolloutVerb::Status { service })
+        .to_options()
+        .descr("how far the newest rollout of a service is, or of each")
+        .command("status");
+    let abort = service()
+        .map(|service| RolloutVerb::Abort { service })
+        .to_options()
+        .descr("go back to the version that was in force before")
+        .command("abort");
+    let history = service()
+        .map(|service| RolloutVerb::History { service })
+        .to_options()
+        .descr("what came of the rollouts of a service, the oldest first")
+        .command("history");
+    construct!([start, status, abort, history])
 }
 
 fn options() -> OptionParser<Args> {
--- a/crates/server/src/grebectl/main.rs
+++ b/crates/server/src/grebectl/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod controller_client;
+mod rollouts;
 mod show;
 mod verbs;
 
--- a/crates/server/src/grebectl/verbs.rs
+++ b/crates/server/src/grebectl/verbs.rs
@@ -16,10 +16,11 @@
     EXIT_WRONG, Verb, addresses,
 };
 use crate::controller_client::{Answer, ControllerRequest, RequestError};
+use crate::rollouts;
 use crate::show::{self, ControllerStatus};
 
 /// Why a verb ends early.
-struct Failure {
+pub struct Failure {
     /// For people; nothing if it was printed already.
     message: String,
     exit_code: i32,
@@ -56,7 +57,8 @@
     }
 }
 
-fn controllers(args: &Args) -> Result<Vec<SocketAddr>, Failure> {
+/// The controllers that the command line names.
+pub fn controllers(args: &Args) -> Result<Vec<SocketAddr>, Failure> {
     addresses(args).map_err(|error| Failure::new(error.to_string(), EXIT_USAGE))
 }
 
@@ -108,6 +110,7 @@
         Verb::Status => status(args, http).await,
         Verb::Vouch { seat } => force_recovery(http, seat).await,
         Verb::Forget { member } => forget_member(args, http, member).await,
+        Verb::Rollout(verb) => rollouts::run(args, http, verb).await,
         Verb::Explain { search, key, file } => {
             explain(args, http, search, key.as_deref(), file.as_deref()).await
         }
@@ -180,11 +183,22 @@
     method: Method,
     body: Vec<u8>,
 ) -> Result<i32, Failure> {
-    let list = controllers(args)?;
     // Findings that need no controller are told without one.
     if method == Method::PUT {
         checked(args, &body)?;
     }
+    send_order(args, http, method, CONFIG, body).await
+}
+
+/// Sends an order under an id of its own, and tells what came of it.
+pub async fn send_order(
+    args: &Args,
+    http: &HttpClient,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<i32, Failure> {
+    let list = controllers(args)?;
     let id = args.request.clone().unwrap_or_else(|| {
         format!(
             "ctl-{:016x}{:016x}",
@@ -196,7 +210,7 @@
         body,
         request_id: Some(id.clone()),
         expected_revision: args.expect,
-        ..ControllerRequest::new(method, CONFIG)
+        ..ControllerRequest::new(method, path)
     };
     let answer = request.send_to_any(http, &list).await.map_err(|error| {
         Failure::new(format!("{error}; ask again with --request-id {id}"), EXIT_UNKNOWN)
@@ -206,7 +220,7 @@
         200 => EXIT_OK,
         422 | 400 => EXIT_WRONG,
         412 => EXIT_MOVED,
-        503 => EXIT_TROUBLE,
+        404 | 409 | 503 => EXIT_TROUBLE,
         _ => EXIT_UNKNOWN,
     };
     let revision = answer["revision"].as_u64().unwrap_or(0);
--- a/crates/server/src/querier/metrics.rs
+++ b/crates/server/src/querier/metrics.rs
@@ -12,6 +12,7 @@
     revision: u64,
     members: u64,
     shares: u64,
+    withheld_leafs: u64,
 }
 
 /// The membership thread's part.
@@ -20,6 +21,7 @@
         counts: agent.counters.clone(),
         revision: agent.view.as_ref().map_or(0, |v| v.revision),
         members: agent.membership.members.len() as u64,
+        withheld_leafs: agent.withheld_leafs as u64,
         shares: agent.quota_members.iter().map(|m| u64::from(m.threads)).sum(),
     }
 }
@@ -102,6 +104,8 @@
         one(o, "gauge", "grebe_revision", "Configuration revision obeyed.", k.revision);
         one(o, "gauge", "grebe_members", "Members of the cohort.", k.members);
         one(o, "gauge", "grebe_shares", "Threads that divide the fleet's limits.", k.shares);
+        let help = "Leafs of versions that are not in force.";
+        one(o, "gauge", "grebe_withheld_leafs", help, k.withheld_leafs);
         let c = &k.counts;
         one(o, "counter", "grebe_news_taken_total", "News taken.", c.updates);
         one(
