--- a/crates/core/src/control_plane/controller.rs
+++ b/crates/core/src/control_plane/controller.rs
@@ -9,6 +9,7 @@
 use crate::control_plane::members::Members;
 use crate::control_plane::pending_requests::{ForwardedOperation, PendingRequest};
 use crate::control_plane::rollout_clock::RolloutClock;
+use crate::control_plane::rollout_votes::RolloutVotes;
 use crate::identifiers::{PartitionId, VoterSlot, partitions};
 use crate::protocol::message::Message;
 use crate::protocol::operation::Operation;
@@ -63,6 +64,8 @@
     pub scrub_at: Tick,
     /// Index of that partition.
     pub scrub_next: usize,
+    /// What members have seen of versions that are tried.
+    pub rollout_votes: RolloutVotes,
     /// How long each rollout has been as it is.
     pub rollout_clock: RolloutClock,
     /// Our random numbers: jitter, nonces, replica ids.
@@ -204,6 +207,7 @@
             attempts_seen: IndexSet::new(),
             scrub_at: now + SCRUB_INTERVAL,
             scrub_next: 0,
+            rollout_votes: RolloutVotes::default(),
             rollout_clock: RolloutClock::default(),
             counters: Counters::default(),
         }
--- a/crates/core/src/control_plane/endpoints.rs
+++ b/crates/core/src/control_plane/endpoints.rs
@@ -61,8 +61,6 @@
 ) {
     let id = partition.id;
     let known = leafs_in(&partition.state.entries);
-    let named = known.values().chain(&list).filter(|info| part_of(&info.service) == id);
-    let first_versions = missing_first_versions(&partition.state.entries, named);
     let Some(leader) = partition.leader_mut() else { return };
     if !leader.is_serving {
         return;
@@ -77,9 +75,12 @@
         .filter(|info| part_of(&info.service) == id)
         .map(|info| (info.leaf.clone(), info))
         .collect();
-    let mut entries = first_versions;
+    let removed = removed_entries(leader, now, &list, &known);
+    let unlisted = known.values().filter(|info| !list.contains_key(&info.leaf));
+    let all = list.values().chain(unlisted);
+    let mut entries = missing_first_versions(&partition.state.entries, all);
     entries.extend(listed_entries(&list, &known));
-    entries.extend(removed_entries(leader, now, &list, &known));
+    entries.extend(removed);
     change_if_any(partition, now, group, entries, commands);
 }
 
--- a/crates/core/src/control_plane/from_connections.rs
+++ b/crates/core/src/control_plane/from_connections.rs
@@ -9,6 +9,7 @@
 use crate::control_plane::membership_updates::MembershipSource;
 use crate::control_plane::operations::Request;
 use crate::control_plane::pending_requests::ForwardedOperation;
+use crate::control_plane::rollout_votes::VoteSource;
 use crate::protocol::message::Message;
 use crate::replication::partition::Role;
 use crate::time::Tick;
@@ -62,6 +63,9 @@
             Message::LeafList { .. } | Message::LeafReports { .. } => {
                 self.on_leaf_report(now, ReportSource::Member, message, commands);
             }
+            Message::RolloutVote { .. } => {
+                self.on_rollout_vote(VoteSource::Member, message, commands);
+            }
             message => self.on_spare_message(now, connection, message, commands),
         }
     }
--- a/crates/core/src/control_plane/from_voters.rs
+++ b/crates/core/src/control_plane/from_voters.rs
@@ -9,6 +9,7 @@
 use crate::control_plane::membership_updates::MembershipSource;
 use crate::control_plane::operations::Request;
 use crate::control_plane::pending_requests::AttemptId;
+use crate::control_plane::rollout_votes::VoteSource;
 use crate::identifiers::{PartitionId, VoterSlot};
 use crate::protocol::membership::Memberships;
 use crate::protocol::message::Message;
@@ -130,6 +131,9 @@
             Message::LeafList { .. } | Message::LeafReports { .. } => {
                 self.on_leaf_report(now, ReportSource::Voter, message, commands);
             }
+            Message::RolloutVote { .. } => {
+                self.on_rollout_vote(VoteSource::Voter, message, commands);
+            }
             message => self.on_replication_of_memberships(now, from, message, commands),
         }
     }
--- a/crates/core/src/control_plane/mod.rs
+++ b/crates/core/src/control_plane/mod.rs
@@ -39,6 +39,7 @@
 pub mod rollout_clock;
 mod rollout_orders;
 mod rollout_progress;
+pub mod rollout_votes;
 mod slot_takeover;
 pub mod step;
 mod subscriptions;
--- a/crates/core/src/http_api/rollout.rs
+++ b/crates/core/src/http_api/rollout.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use crate::rollout::order::RolloutOrder;
-use crate::rollout::record::{FormerRollout, Rollout, RolloutPhase, RolloutReason, RolloutState};
+use crate::rollout::record::{FormerRollout, Rollout, RolloutState};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
@@ -83,8 +83,8 @@
         "service": rollout.service,
         "version": rollout.target,
         "state": state_name(rollout.state()),
-        "phase": phase_name(rollout.phase()),
-        "reason": reason_name(rollout.reason()),
+        "phase": rollout.phase().name(),
+        "reason": rollout.reason().name(),
         "over_ms": rollout.term_ms,
         "elapsed_ms": rollout.elapsed_ms,
         "id": rollout.ordered_revision,
@@ -97,8 +97,8 @@
     json!({
         "version": former.target,
         "id": former.ordered_revision,
-        "phase": phase_name(former.phase()),
-        "reason": reason_name(former.reason()),
+        "phase": former.phase().name(),
+        "reason": former.reason().name(),
         "elapsed_ms": former.elapsed_ms,
     })
 }
@@ -110,24 +110,3 @@
         RolloutState::Returned => "returned",
     }
 }
-
-/// The name of a phase, in JSON and metrics.
-pub fn phase_name(phase: RolloutPhase) -> &'static str {
-    match phase {
-        RolloutPhase::Trial => "trial",
-        RolloutPhase::Forward => "forward",
-        RolloutPhase::Back => "back",
-        RolloutPhase::Delivered => "delivered",
-        RolloutPhase::Returned => "returned",
-    }
-}
-
-fn reason_name(reason: RolloutReason) -> &'static str {
-    match reason {
-        RolloutReason::Undecided => "undecided",
-        RolloutReason::NoVerdict => "no-verdict",
-        RolloutReason::Aborted => "aborted",
-        RolloutReason::FoundGood => "found-good",
-        RolloutReason::FoundBad => "found-bad",
-    }
-}
--- a/crates/core/src/membership/lease_renewal.rs
+++ b/crates/core/src/membership/lease_renewal.rs
@@ -39,6 +39,7 @@
             }
             _ => self.send_to_voters(&message, commands),
         }
+        self.send_rollout_votes(commands);
         if overdue && self.lease.granted {
             self.renew_by_members(now, &message, commands);
         }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -18,6 +18,7 @@
 pub mod peer;
 pub mod pending_report;
 pub mod proofs;
-pub mod status;
+pub mod rollout_votes;
+mod status;
 pub mod step;
 pub mod updates;
--- a/crates/core/src/membership/node_agent.rs
+++ b/crates/core/src/membership/node_agent.rs
@@ -14,10 +14,12 @@
 use crate::membership::peer::Peer;
 use crate::membership::pending_report::PendingLeafReport;
 use crate::membership::proofs::Proofs;
+use crate::membership::rollout_votes::RolloutVotes;
 use crate::protocol::membership::{Member, Membership};
 use crate::protocol::message::{FeedPosition, LeafReport, Message};
 use crate::protocol::replica::EntryMap;
 use crate::query::engine::ServingState;
+use crate::rollout::evidence::TrialEvidence;
 use crate::rollout::record::Rollout;
 use crate::snapshot::cluster_view::ClusterView;
 use crate::snapshot::leafs::LeafInfo;
@@ -50,6 +52,12 @@
     pub is_caught_up: bool,
     /// The configuration that is obeyed.
     pub configuration: Arc<RoutingTable>,
+    /// What our threads have seen of versions that are tried.
+    pub rollout_votes: RolloutVotes,
+    /// Revision of the first configuration that was obeyed; zero before.
+    pub first_revision: u64,
+    /// Until when our threads may try versions.
+    pub trials_until: Tick,
     /// Leafs of versions that are not in force (count).
     pub withheld_leafs: usize,
     /// The newest rollout of each service, by the configuration that is obeyed.
@@ -206,6 +214,13 @@
         /// What it reported.
         report: LeafReport,
     },
+    /// What a traffic thread has seen of a version that is tried, since the trial began.
+    TrialEvidence {
+        /// The thread's stable number.
+        thread: u64,
+        /// What it has seen.
+        evidence: TrialEvidence,
+    },
     /// A poll of the platform's list has ended.
     LeafList(Result<Vec<LeafInfo>, String>),
     /// The process is asked to stop.
@@ -254,6 +269,8 @@
     Admission(ServingState),
     /// Until when the traffic threads may act on their view, if nothing else is said.
     ServingUntil(Tick),
+    /// Versions may be tried until then.
+    TrialsUntil(Tick),
     /// Whether this querier is ready.
     Ready(bool),
     /// Poll the platform's list.
@@ -276,6 +293,9 @@
             voter_set_stamp: stamp(&VoterSet::default()),
             is_caught_up: false,
             configuration: Arc::new(RoutingTable::default()),
+            rollout_votes: RolloutVotes::default(),
+            first_revision: 0,
+            trials_until: 0,
             withheld_leafs: 0,
             rollouts: Vec::new(),
             configuration_revision: 0,
--- a/crates/core/src/membership/status.rs
+++ b/crates/core/src/membership/status.rs
@@ -114,6 +114,18 @@
             self.serving_until = serving_until;
             commands.push(Command::ServingUntil(serving_until));
         }
+        self.update_trials_until(commands);
+    }
+
+    /// Versions are tried under a lease of the controllers alone: whoever serves on by proofs may
+    /// not know that a trial has ended.
+    fn update_trials_until(&mut self, commands: &mut Vec<Command>) {
+        let has_trials = self.view.as_ref().is_some_and(|view| !view.trials.is_empty());
+        let trials_until = if has_trials { self.lease.valid_until() } else { 0 };
+        if trials_until != self.trials_until {
+            self.trials_until = trials_until;
+            commands.push(Command::TrialsUntil(trials_until));
+        }
     }
 
     fn update_readiness(&mut self, now: Tick, contact: &CoreContact, commands: &mut Vec<Command>) {
--- a/crates/core/src/membership/step.rs
+++ b/crates/core/src/membership/step.rs
@@ -33,6 +33,7 @@
                 self.on_member_message(now, &name, message, &mut commands);
             }
             Event::LeafReport { service, report } => self.on_leaf_report(now, service, report),
+            Event::TrialEvidence { thread, evidence } => self.on_trial_evidence(thread, evidence),
             Event::LeafList(polled) => self.on_leaf_list(now, polled, &mut commands),
             Event::Stop => self.stopping_since = Some(now),
             Event::Drained => {
--- a/crates/core/src/membership/updates.rs
+++ b/crates/core/src/membership/updates.rs
@@ -68,6 +68,9 @@
         match built {
             Ok(configuration) => {
                 self.rollouts = rollouts;
+                if self.first_revision == 0 {
+                    self.first_revision = revision;
+                }
                 self.configuration = Arc::new(configuration);
                 self.configuration_revision = revision;
             }
@@ -183,7 +186,8 @@
         let split = versions.split_leafs(leafs);
         self.withheld_leafs = split.others.len();
         let (revision, configuration) = (self.configuration_revision, self.configuration.clone());
-        ClusterView::new(revision, configuration, split.in_force)
+        let trials = self.trials(&split);
+        ClusterView::new(revision, configuration, split.in_force).with_trials(trials)
     }
 
     fn note_searches_served(&mut self, now: Tick, view: &ClusterView) {
--- a/crates/core/src/protocol/message.rs
+++ b/crates/core/src/protocol/message.rs
@@ -11,6 +11,7 @@
 use crate::protocol::operation::{Operation, OperationResult};
 use crate::protocol::peer::PeerIdentity;
 use crate::protocol::replica::{EntryMap, HandedOverReplica, ReplicaCondition};
+use crate::rollout::evidence::TrialEvidence;
 use crate::snapshot::leafs::LeafInfo;
 use crate::voter_set::{SlotHolder, VoterSet};
 
@@ -218,4 +219,7 @@
     /// The process of this incarnation polls the platform's list with this rank, in place of
     /// members that are silent; beside each grant, as long as it is so.
     SubstituteListPoller { name: String, incarnation: u64, rank: u32 },
+    /// What the process of this incarnation has seen of versions that are tried, since each
+    /// trial began: with its renewals, to the leader of the configuration.
+    RolloutVote { name: String, incarnation: u64, evidence: Vec<TrialEvidence> },
 }
--- a/crates/core/src/protocol/message_shapes.rs
+++ b/crates/core/src/protocol/message_shapes.rs
@@ -59,7 +59,11 @@
     Text,
     ENUMERATION,
     List(&FORMER_ROLLOUT),
+    ENUMERATION,
 ]);
+const VERSION_EVIDENCE: Shape = Fields(&[U32, U32, U32, List(&U32)]);
+const ROUTE_EVIDENCE: Shape = Fields(&[Text, VERSION_EVIDENCE, VERSION_EVIDENCE]);
+const TRIAL_EVIDENCE: Shape = Fields(&[Text, U64, List(&ROUTE_EVIDENCE), List(&U64)]);
 
 const OPERATION: Shape =
     Variants(&[&[Bytes], &[Bytes], EMPTY, EMPTY, &[Text], &[ROLLOUT_ORDER], &[Text], &[Text]]);
@@ -131,8 +135,9 @@
     // OperationRequest, OperationResponse
     &[U64, U64, TERM, Text, Maybe(&U64), OPERATION],
     &[U64, U64, OPERATION_RESULT],
-    // SubstituteListPoller
+    // SubstituteListPoller, RolloutVote
     &[Text, U64, U32],
+    &[Text, U64, List(&TRIAL_EVIDENCE)],
 ]);
 
 /// A replica's state, as a snapshot file holds it.
--- a/crates/core/src/query/attempt.rs
+++ b/crates/core/src/query/attempt.rs
@@ -1,5 +1,8 @@
 //! One attempt: a planned shard's question on its way to a leaf.
 
+use std::sync::Arc;
+
+use crate::config::route::Route;
 use crate::time::Tick;
 
 /// One dispatch: tied to a query, a planned shard and a leaf.
@@ -8,6 +11,8 @@
     pub shard: usize,
     pub leaf: String,
     pub service: String,
+    /// The route of its query.
+    pub route: Arc<Route>,
     pub id: String,
     pub sent_at: Tick,
     /// It belongs to a request that is forwarded unchanged.
--- a/crates/core/src/query/cluster_update.rs
+++ b/crates/core/src/query/cluster_update.rs
@@ -33,8 +33,10 @@
         self.service_retry_budget.retain(|s| view.services.contains_key(s));
         self.latency_estimate.retain(|s| view.mappings.contains_key(s));
         let same = self.cluster_view.services == view.services
+            && self.cluster_view.trials == view.trials
             && self.cluster_view.revision == view.revision;
         self.cluster_view = view;
+        self.begin_trials();
         if !same {
             self.assign_ranks();
             self.assign_connections();
@@ -82,12 +84,13 @@
         for route in view.mappings.values() {
             let shared = |p: &&CompiledPool| p.steer == BalancingMode::Partitioned;
             for pool in route.shards.iter().flat_map(|s| &s.pools).filter(shared) {
-                let Some(list) = view.services.get(&pool.service) else { continue };
-                let totals = vec![u64::from(pool.bears); list.len()];
-                let ranks = self.quota_share.balanced_ranks(hash(&pool.service), &totals);
-                for (info, rank) in list.iter().zip(ranks) {
-                    if let Some(leaf) = self.leafs.get_mut(&info.leaf) {
-                        leaf.balanced_rank = rank;
+                for list in versions_of(&view, &pool.service) {
+                    let totals = vec![u64::from(pool.bears); list.len()];
+                    let ranks = self.quota_share.balanced_ranks(hash(&pool.service), &totals);
+                    for (info, rank) in list.iter().zip(ranks) {
+                        if let Some(leaf) = self.leafs.get_mut(&info.leaf) {
+                            leaf.balanced_rank = rank;
+                        }
                     }
                 }
             }
@@ -100,25 +103,39 @@
         let pools = view.mappings.values().flat_map(|m| &m.shards).flat_map(|s| &s.pools);
         let mut done: BTreeSet<&str> = BTreeSet::new();
         for pool in pools.filter(|p| p.connections > 0) {
-            let Some(list) = view.services.get(&pool.service) else { continue };
             if !done.insert(&pool.service) {
                 continue;
             }
-            // Leafs of emptied zones and those that leave have no new work.
-            let stand: Vec<&LeafInfo> = list
-                .iter()
-                .filter(|leaf| !leaf.leaving && !view.built.drained.contains(leaf.zone()))
-                .map(|leaf| leaf.as_ref())
-                .collect();
-            let mine = self.thread_id;
-            let connections =
-                connection_subset::deal(&self.peers, mine, &stand, u64::from(pool.connections));
-            for (info, n) in stand.iter().zip(connections) {
-                if let Some(leaf) = self.leafs.get_mut(&info.leaf) {
-                    // Before we know of anyone else, one connection at a time.
-                    leaf.connection_limit = Some(if self.peers.is_empty() { 1 } else { n });
-                }
+            for list in versions_of(&view, &pool.service) {
+                self.assign_connections_to(&view, list, u64::from(pool.connections));
+            }
+        }
+    }
+
+    /// Deals out the connections to the leafs of one version of a service.
+    fn assign_connections_to(&mut self, view: &ClusterView, list: &[Arc<LeafInfo>], limit: u64) {
+        // Leafs of emptied zones and those that leave have no new work.
+        let stand: Vec<&LeafInfo> = list
+            .iter()
+            .filter(|leaf| !leaf.leaving && !view.built.drained.contains(leaf.zone()))
+            .map(|leaf| leaf.as_ref())
+            .collect();
+        let connections = connection_subset::deal(&self.peers, self.thread_id, &stand, limit);
+        for (info, n) in stand.iter().zip(connections) {
+            if let Some(leaf) = self.leafs.get_mut(&info.leaf) {
+                // Before we know of anyone else, one connection at a time.
+                leaf.connection_limit = Some(if self.peers.is_empty() { 1 } else { n });
             }
         }
     }
 }
+
+/// The leafs of a service: those in force, and those that are tried.
+fn versions_of<'a>(
+    view: &'a ClusterView,
+    service: &str,
+) -> impl Iterator<Item = &'a [Arc<LeafInfo>]> {
+    let in_force = view.services.get(service).map(Vec::as_slice);
+    let tried = view.trials.get(service).map(|trial| trial.leafs.as_slice());
+    in_force.into_iter().chain(tried)
+}
--- a/crates/core/src/query/engine.rs
+++ b/crates/core/src/query/engine.rs
@@ -15,6 +15,7 @@
 use super::retry_budget::RetryBudget;
 use super::service_retry_budget::{RetryRate, ServiceRetryBudget};
 use super::statistics::EngineStatistics;
+use super::trials::Trials;
 use crate::random::Random;
 use crate::snapshot::cluster_view::ClusterView;
 use crate::time::Tick;
@@ -60,6 +61,8 @@
     /// All nodes that open connections to leafs, in order.
     pub peers: Vec<ConnectingThread>,
     pub latency_estimate: LatencyEstimate,
+    /// Versions that are tried, by service.
+    pub trials: Trials,
     pub load_pressure: LoadPressure,
     pub random: Random,
     pub statistics: EngineStatistics,
@@ -87,6 +90,7 @@
             service_retry_budget: ServiceRetryBudget::new(RetryRate::standard()),
             peers: Vec::new(),
             latency_estimate: LatencyEstimate::default(),
+            trials: Trials::default(),
             load_pressure: LoadPressure::default(),
             random: Random::new(seed),
             statistics: EngineStatistics::default(),
--- a/crates/core/src/query/event.rs
+++ b/crates/core/src/query/event.rs
@@ -10,6 +10,8 @@
 use super::service_retry_budget::RetryRate;
 use crate::http_api::leaf::{AttemptFailure, LeafReply};
 use crate::protocol::message::LeafReport;
+use crate::rollout::evidence::TrialEvidence;
+use crate::rollout::trial::ExposureLimit;
 use crate::snapshot::cluster_view::ClusterView;
 use crate::time::{Span, Tick};
 
@@ -41,6 +43,11 @@
     RetryRate(RetryRate),
     ServingState(ServingState),
     LeaseValidUntil(Tick),
+    /// Until when our lease by the controllers themselves is valid: only then versions may be
+    /// tried.
+    TrialsUntil(Tick),
+    /// How much may reach a version that is tried.
+    ExposureLimit(ExposureLimit),
     /// Time has passed.
     Timer,
 }
@@ -61,6 +68,8 @@
         service: String,
         report: LeafReport,
     },
+    /// What this thread has seen of a version that is tried.
+    ReportTrial(TrialEvidence),
 }
 
 /// A dispatch to be sent.
--- a/crates/core/src/query/leaf_feedback.rs
+++ b/crates/core/src/query/leaf_feedback.rs
@@ -14,6 +14,7 @@
         attempt: &Attempt,
         how: Result<(), AttemptFailure>,
     ) {
+        self.record_trial_answer(now, attempt, how);
         let Some(leaf) = self.leafs.get_mut(&attempt.leaf) else { return };
         let took = since(attempt.sent_at, now);
         match how {
@@ -38,6 +39,7 @@
         commands: &mut Vec<Command>,
     ) {
         for other in others {
+            self.record_overtaken(now, attempt, *other);
             if let Some(late) = self.attempts.get_mut(other)
                 && late.sent_at < attempt.sent_at
                 && let Some(leaf) = self.leafs.get_mut(&late.leaf)
--- a/crates/core/src/query/leaf_selection.rs
+++ b/crates/core/src/query/leaf_selection.rs
@@ -27,8 +27,19 @@
     NoCandidate,
 }
 
+/// The version whose leafs a choice is made from.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum VersionChoice {
+    /// The version in force.
+    InForce,
+    /// The one that is tried.
+    Tried,
+}
+
 /// What a choice depends on.
 pub struct SelectionContext<'a> {
+    /// Which of a service's versions are chosen from.
+    pub version: VersionChoice,
     pub cluster_view: &'a ClusterView,
     pub quota_share: &'a QuotaShare,
     pub leafs: &'a IndexMap<String, LeafState>,
@@ -111,11 +122,18 @@
 }
 
 impl<'a> SelectionContext<'a> {
+    fn open_leafs(&self, pool: &'a CompiledPool, cut: &'a str) -> Vec<&'a Arc<LeafInfo>> {
+        match self.version {
+            VersionChoice::InForce => self.cluster_view.open_leafs(pool, cut).collect(),
+            VersionChoice::Tried => self.cluster_view.open_trial_leafs(pool, cut).collect(),
+        }
+    }
+
     /// The leafs of a shard that stand, and those of them that have room.
     fn candidates(&self, route: &'a Route, shard: usize, tried: &[String]) -> Candidates<'a> {
         let mut found = Candidates::default();
         for pool in &route.shards[shard].pools {
-            for info in self.cluster_view.open_leafs(pool, &route.cut) {
+            for info in self.open_leafs(pool, &route.cut) {
                 if tried.contains(&info.leaf) {
                     continue;
                 }
--- a/crates/core/src/query/mod.rs
+++ b/crates/core/src/query/mod.rs
@@ -33,3 +33,4 @@
 pub mod slow_start;
 pub mod statistics;
 pub mod step;
+pub mod trials;
--- a/crates/core/src/query/sending.rs
+++ b/crates/core/src/query/sending.rs
@@ -3,7 +3,7 @@
 use super::attempt::Attempt;
 use super::engine::QueryEngine;
 use super::event::{Command, OutgoingAttempt};
-use super::leaf_selection::{Choice, SelectionContext};
+use super::leaf_selection::{Choice, SelectionContext, VersionChoice};
 use super::planned_query::{Query, ShardState};
 use super::request::RejectionReason;
 use crate::snapshot::leafs::LeafInfo;
@@ -19,6 +19,10 @@
         index: usize,
         commands: &mut Vec<Command>,
     ) {
+        if let Some(info) = self.choose_trial_leaf(now, query, index) {
+            query.shards[index].transition(ShardState::InFlight);
+            return self.send_attempt(now, query_id, query, index, &info, commands);
+        }
         let picked = self.choose_leaf(now, query, index);
         let shard = &mut query.shards[index];
         match picked {
@@ -86,7 +90,19 @@
         if now > self.lease_valid_until {
             return Choice::NoCapacity;
         }
+        self.choose_version_leaf(now, query, index, VersionChoice::InForce)
+    }
+
+    /// Chooses among the leafs of one version of a shard's services.
+    pub(super) fn choose_version_leaf(
+        &mut self,
+        now: Tick,
+        query: &Query,
+        index: usize,
+        version: VersionChoice,
+    ) -> Choice {
         let context = SelectionContext {
+            version,
             cluster_view: &self.cluster_view,
             quota_share: &self.quota_share,
             leafs: &self.leafs,
@@ -159,6 +175,7 @@
             shard: index,
             leaf: info.leaf.clone(),
             service: info.service.clone(),
+            route: query.route.clone(),
             id: format!("{}.{attempt_id}", query.name),
             sent_at: now,
             forwarded: query.forwarded.is_some(),
--- a/crates/core/src/query/statistics.rs
+++ b/crates/core/src/query/statistics.rs
@@ -17,6 +17,9 @@
     /// Second tries that the fleet's rule did not allow.
     pub retries_denied: u64,
     pub cancelled: u64,
+    /// Attempts at versions that are tried, and those of them that failed.
+    pub trial_attempts: u64,
+    pub trial_failures: u64,
     /// Outcomes by time taken: upper bounds in ms, last one without bound.
     pub latency_buckets: [u64; 12],
     /// Queries, dispatches out and shards waiting for room, now.
--- a/crates/core/src/query/step.rs
+++ b/crates/core/src/query/step.rs
@@ -38,6 +38,8 @@
             Event::RetryRate(rate) => {
                 self.service_retry_budget.set_rate(rate, self.quota_share.threads.len() as u64)
             }
+            Event::TrialsUntil(until) => self.trials.valid_until = until,
+            Event::ExposureLimit(limit) => self.trials.limit = limit,
             Event::ServingState(door) => self.serving_state = door,
             Event::LeaseValidUntil(until) => {
                 self.lease_valid_until = until;
@@ -46,6 +48,7 @@
             Event::Timer => self.advance_queries(now, &mut commands),
         }
         self.cancel_abandoned(now, &mut commands);
+        self.report_trials(now, &mut commands);
         // Cancelled attempts leave room behind that waiting queries can use.
         if has_room || commands.iter().any(|c| matches!(c, Command::CancelAttempt { .. })) {
             self.advance_queries(now, &mut commands);
--- a/crates/core/src/rollout/first_version.rs
+++ b/crates/core/src/rollout/first_version.rs
@@ -2,7 +2,8 @@
 //!
 //! The leader of the service's partition records it in the same change as the first leafs that
 //! have a version, so whoever knows such a leaf knows the version too. It never changes: from
-//! then on the service moves by rollouts alone.
+//! then on the service moves by rollouts alone. Where most leafs have none when the first with a
+//! version come, what is recorded is that: those that come later wait for an order.
 
 use std::collections::BTreeMap;
 
@@ -19,19 +20,20 @@
     with_prefix(entries, VERSION).filter_map(move |(service, value)| Some((service, text(value)?)))
 }
 
-/// The entries that record the first version of each service which has none recorded: the one
-/// that most of its leafs have, the first by name of several.
+/// The entries that record the first version of each service which has none recorded, once the
+/// list tells versions of its leafs: the one that most have, the first by name of several.
 pub fn missing_first_versions<'a>(
     entries: &EntryMap,
     leafs: impl Iterator<Item = &'a LeafInfo>,
 ) -> Vec<Entry> {
     let mut counts: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
-    for leaf in leafs.filter(|leaf| !leaf.version().is_empty()) {
+    for leaf in leafs {
         let of_service = counts.entry(&leaf.service).or_default();
         *of_service.entry(leaf.version()).or_default() += 1;
     }
-    let missing = counts.into_iter().map(|(service, counts)| (key(service), counts));
-    missing
+    let has_versions = |counts: &BTreeMap<&str, usize>| counts.keys().any(|v| !v.is_empty());
+    let told = counts.into_iter().filter(|(_, counts)| has_versions(counts));
+    told.map(|(service, counts)| (key(service), counts))
         .filter(|(key, _)| !entries.contains_key(key))
         .filter_map(|(key, counts)| Some((key, most_frequent(&counts)?)))
         .map(|(key, version)| (key, Some(version.as_bytes().to_vec())))
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -7,7 +7,10 @@
 //! partition). An order to move a service ([`order`]) starts a rollout; [`versions`] tells for
 //! each leaf whether it gets requests.
 
+pub mod evidence;
 pub mod first_version;
 pub mod order;
 pub mod record;
+pub mod trial;
+pub mod verdict;
 pub mod versions;
--- a/crates/core/src/rollout/record.rs
+++ b/crates/core/src/rollout/record.rs
@@ -28,6 +28,18 @@
     Returned = 4,
 }
 
+/// How far a trial is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, prost::Enumeration)]
+#[repr(i32)]
+pub enum TrialStep {
+    /// A few requests reach the new version, spread over time.
+    Steady = 0,
+    /// All members send what they have saved, at the same time.
+    Surge = 1,
+    /// The surge is over; a few requests reach the new version.
+    Watch = 2,
+}
+
 /// What an operator is told of a rollout.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RolloutState {
@@ -92,6 +104,9 @@
     /// The rollouts before it, the oldest first.
     #[prost(message, repeated, tag = "11")]
     pub history: Vec<FormerRollout>,
+    /// A [`TrialStep`].
+    #[prost(enumeration = "TrialStep", tag = "12")]
+    pub step: i32,
 }
 
 /// What came of a rollout that another one has followed.
@@ -136,6 +151,7 @@
             delivered_version: delivered_version.unwrap_or_default(),
             reason: RolloutReason::Undecided as i32,
             history,
+            step: TrialStep::Steady as i32,
         }
     }
 
@@ -170,6 +186,11 @@
         }
     }
 
+    /// The same, at another step of its trial.
+    pub fn stepped(&self, step: TrialStep, elapsed_ms: u64) -> Rollout {
+        Rollout { step: step as i32, elapsed_ms, ..self.clone() }
+    }
+
     /// What an operator is told of it.
     pub fn state(&self) -> RolloutState {
         match self.phase() {
@@ -181,6 +202,11 @@
         }
     }
 
+    /// Whether members watch the new version.
+    pub fn is_watched(&self) -> bool {
+        matches!(self.phase(), RolloutPhase::Trial | RolloutPhase::Forward)
+    }
+
     /// Whether an order asks for just this rollout.
     pub fn is_ordered_by(&self, order: &RolloutOrder) -> bool {
         self.target == order.target && self.term_ms == order.term_ms
@@ -201,6 +227,32 @@
     }
 }
 
+impl RolloutPhase {
+    /// Its name, in JSON, metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RolloutPhase::Trial => "trial",
+            RolloutPhase::Forward => "forward",
+            RolloutPhase::Back => "back",
+            RolloutPhase::Delivered => "delivered",
+            RolloutPhase::Returned => "returned",
+        }
+    }
+}
+
+impl RolloutReason {
+    /// Its name, in JSON and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RolloutReason::Undecided => "undecided",
+            RolloutReason::NoVerdict => "no-verdict",
+            RolloutReason::Aborted => "aborted",
+            RolloutReason::FoundGood => "found-good",
+            RolloutReason::FoundBad => "found-bad",
+        }
+    }
+}
+
 fn key(service: &str) -> String {
     format!("{ROLLOUT}{service}")
 }
--- a/crates/core/src/snapshot/cluster_view.rs
+++ b/crates/core/src/snapshot/cluster_view.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::config::route::{CompiledPool, INDEX_VERSION_LABEL, Route, RoutingTable};
+use crate::rollout::trial::Trial;
 use crate::snapshot::leafs::LeafInfo;
 
 /// Everything a query needs to know.
@@ -23,7 +24,9 @@
     pub hosts: IndexMap<String, Vec<Arc<Route>>>,
     /// Leafs by service, in the order in which they were listed.
     pub services: IndexMap<String, Vec<Arc<LeafInfo>>>,
-    /// Leafs by identity.
+    /// Versions that are tried, by service; their leafs are not among `services`.
+    pub trials: IndexMap<String, Trial>,
+    /// Leafs by identity, those that are tried included.
     pub leafs: IndexMap<String, Arc<LeafInfo>>,
 }
 
@@ -45,6 +48,16 @@
         view
     }
 
+    /// The same with versions that are tried.
+    pub fn with_trials(mut self, trials: Vec<Trial>) -> Self {
+        for trial in trials {
+            let leafs = trial.leafs.iter().map(|leaf| (leaf.leaf.clone(), leaf.clone()));
+            self.leafs.extend(leafs);
+            self.trials.insert(trial.service.clone(), trial);
+        }
+        self
+    }
+
     /// The route of a call: of its host's, the one with the longest path that
     /// begins the call's. The host may name a port.
     pub fn route_for(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -62,12 +75,24 @@
         cut: &'a str,
     ) -> impl Iterator<Item = &'a Arc<LeafInfo>> {
         let leafs = self.services.get(&pool.service).map_or(&[][..], Vec::as_slice);
-        leafs.iter().filter(move |leaf| {
-            !leaf.leaving
-                && !self.built.drained.contains(leaf.zone())
-                && leaf.labels.get(INDEX_VERSION_LABEL).is_none_or(|version| version == cut)
-                && pool.sel.matches(&leaf.labels)
-        })
+        leafs.iter().filter(move |leaf| self.is_open(leaf, pool, cut))
+    }
+
+    /// The leafs of a pool's service whose version is tried, and that may get new work.
+    pub fn open_trial_leafs<'a>(
+        &'a self,
+        pool: &'a CompiledPool,
+        cut: &'a str,
+    ) -> impl Iterator<Item = &'a Arc<LeafInfo>> {
+        let leafs = self.trials.get(&pool.service).map_or(&[][..], |trial| &trial.leafs);
+        leafs.iter().filter(move |leaf| self.is_open(leaf, pool, cut))
+    }
+
+    fn is_open(&self, leaf: &LeafInfo, pool: &CompiledPool, cut: &str) -> bool {
+        !leaf.leaving
+            && !self.built.drained.contains(leaf.zone())
+            && leaf.labels.get(INDEX_VERSION_LABEL).is_none_or(|version| version == cut)
+            && pool.sel.matches(&leaf.labels)
     }
 }
 
--- a/crates/core/tests/format_fixtures.rs
+++ b/crates/core/tests/format_fixtures.rs
@@ -50,8 +50,11 @@
 /// Messages that were added after those of `MESSAGES`.
 const ADDED_MESSAGES: &[u8] = include_bytes!("fixtures/formats/messages-added.bodies");
 
+/// Messages that were added with rollouts.
+const ROLLOUT_MESSAGES: &[u8] = include_bytes!("fixtures/formats/messages-rollouts.bodies");
+
 /// Variants that messages have in the fixtures (count).
-const MESSAGE_VARIANTS: usize = 42;
+const MESSAGE_VARIANTS: usize = 43;
 /// Bytes of a head, and most bytes of a piece's body.
 const HEAD_BYTES: usize = 12;
 const PIECE_BYTES: usize = 64 * 1024;
@@ -280,7 +283,7 @@
 
 /// The bodies of all messages, in the order of `messages::all`.
 fn message_bodies() -> Vec<&'static [u8]> {
-    [bodies(MESSAGES), bodies(ADDED_MESSAGES)].concat()
+    [bodies(MESSAGES), bodies(ADDED_MESSAGES), bodies(ROLLOUT_MESSAGES)].concat()
 }
 
 fn read_message(body: &[u8], expected: &Message) -> Outcome {
--- a/crates/core/tests/format_fixtures/messages.rs
+++ b/crates/core/tests/format_fixtures/messages.rs
@@ -9,13 +9,18 @@
 use grebepath_core::protocol::operation::{Operation, OperationResult};
 use grebepath_core::protocol::peer::PeerIdentity;
 use grebepath_core::protocol::replica::ReplicaCondition;
+use grebepath_core::rollout::evidence::{RouteEvidence, TrialEvidence, VersionEvidence};
+use grebepath_core::rollout::order::RolloutOrder;
+use grebepath_core::rollout::record::{
+    FormerRollout, Rollout, RolloutPhase, RolloutReason, TrialStep,
+};
 
 use super::values::{
     entries, holding, leaf, leaving_progress, map, member, membership, membership_id, narrow,
     partition, places, ready_progress, replica_state, table, term, wide,
 };
 
-/// All of them, in the order of the two fixture files.
+/// All of them, in the order of the fixture files.
 pub fn all() -> Vec<Message> {
     [
         greetings(),
@@ -32,6 +37,7 @@
         operations(),
         operation_results(),
         added(),
+        rollouts(),
     ]
     .concat()
 }
@@ -286,6 +292,75 @@
         .to_vec()
 }
 
+/// What came with rollouts: operations, their results, and the votes of members.
+fn rollouts() -> Vec<Message> {
+    let request = |operation| Message::OperationRequest {
+        op: wide(1),
+        attempt: wide(2),
+        term: term(3),
+        request: "request-1".into(),
+        expected_revision: Some(wide(4)),
+        operation,
+    };
+    let response = |result| Message::OperationResponse { op: wide(1), attempt: wide(2), result };
+    let order = RolloutOrder { service: "service-1".into(), target: "v2".into(), term_ms: wide(5) };
+    vec![
+        request(Operation::StartRollout(order)),
+        request(Operation::AbortRollout("service-1".into())),
+        request(Operation::ReadRollout("service-1".into())),
+        response(OperationResult::Rollout(None)),
+        response(OperationResult::Rollout(Some(rollout()))),
+        response(OperationResult::RolloutInProgress { target: "v2".into() }),
+        Message::RolloutVote {
+            name: "querier-1".into(),
+            incarnation: wide(1),
+            evidence: vec![evidence()],
+        },
+    ]
+}
+
+fn rollout() -> Rollout {
+    Rollout {
+        service: "service-1".into(),
+        target: "v2".into(),
+        term_ms: wide(1),
+        phase: RolloutPhase::Forward as i32,
+        elapsed_ms: wide(2),
+        ordered_revision: wide(3),
+        leader_term: wide(4),
+        phase_revision: wide(5),
+        delivered_version: "v1".into(),
+        reason: RolloutReason::FoundGood as i32,
+        history: vec![FormerRollout {
+            target: "v0".into(),
+            ordered_revision: wide(6),
+            phase: RolloutPhase::Returned as i32,
+            reason: RolloutReason::NoVerdict as i32,
+            elapsed_ms: wide(7),
+        }],
+        step: TrialStep::Watch as i32,
+    }
+}
+
+fn evidence() -> TrialEvidence {
+    let seen = |good| VersionEvidence {
+        good,
+        bad: narrow(1),
+        refused: narrow(2),
+        latencies: vec![narrow(3), narrow(4)],
+    };
+    TrialEvidence {
+        service: "service-1".into(),
+        ordered_revision: wide(1),
+        routes: vec![RouteEvidence {
+            route: "browse".into(),
+            old: seen(narrow(5)),
+            new: seen(narrow(6)),
+        }],
+        poor_leafs: vec![wide(2)],
+    }
+}
+
 /// The message that the fixture of one piece holds.
 pub fn small() -> Message {
     Message::Heartbeat {
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -929,7 +929,7 @@
                         let has_ended = !has_open_call(&d, &s);
                         assert!(has_ended, "seed {seed}: work that is waited for was broken off");
                     }
-                    Command::ReportLeaf { .. } => {}
+                    Command::ReportLeaf { .. } | Command::ReportTrial(_) => {}
                 }
             }
             for (name, leaf) in &d.leafs {
--- /dev/null
+++ b/crates/core/tests/trial_exposure.rs
@@ -0,0 +1,103 @@
+//! What reaches a version that is tried stays below its share and slack, summed over all nodes,
+//! whatever nodes start anew and whenever the surge comes.
+
+use googletest::prelude::*;
+use grebepath_core::random::Random;
+use grebepath_core::rollout::evidence::AnswerQuality;
+use grebepath_core::rollout::record::TrialStep;
+use grebepath_core::rollout::trial::{ExposureLimit, Trial, TrialState};
+use grebepath_core::time::ms;
+
+const LIMIT: ExposureLimit = ExposureLimit { per_thousand: 100, slack: 50, bad_to_stop: 3 };
+
+fn trial(seen_from_start: bool) -> Trial {
+    Trial {
+        service: "s".into(),
+        ordered_revision: 7,
+        step: TrialStep::Steady,
+        leafs: Vec::new(),
+        is_in_force: false,
+        seen_from_start,
+    }
+}
+
+fn new_state(threads: u64, seen_from_start: bool, random: &mut Random) -> TrialState {
+    TrialState::new(&trial(seen_from_start), LIMIT, threads, random.below(1_000))
+}
+
+#[googletest::test]
+fn the_sum_over_all_nodes_keeps_the_limit_through_restarts() {
+    let mut tried_in_all = 0;
+    for seed in 0..200 {
+        let mut random = Random::new(seed);
+        let threads = 1 + random.below(400);
+        let mut nodes: Vec<TrialState> =
+            (0..threads).map(|_| new_state(threads, true, &mut random)).collect();
+        let (mut answers, mut tried) = (0, 0);
+        let surge = random.below(10_000)..10_000;
+        for at in 0..10_000 {
+            let step = if surge.contains(&at) { TrialStep::Surge } else { TrialStep::Steady };
+            let node = random.below(threads) as usize;
+            if random.chance(1, 200) {
+                nodes[node] = new_state(threads, false, &mut random);
+            }
+            answers += 1;
+            nodes[node].earn();
+            if nodes[node].can_spend(step) {
+                nodes[node].spend(step);
+                tried += 1;
+            }
+            assert!(tried <= answers / 10 + 50, "seed {seed}: {tried} of {answers}");
+        }
+        tried_in_all += tried;
+    }
+    // A node that tries hardly anything would keep every limit.
+    expect_that!(tried_in_all, gt(200 * 10_000 / 50));
+}
+
+#[googletest::test]
+fn what_is_saved_is_spent_in_the_surge_alone() {
+    let mut random = Random::new(1);
+    let mut node = new_state(1, false, &mut random);
+    for _ in 0..1_000 {
+        node.earn();
+    }
+    let spend_all = |node: &mut TrialState, step| {
+        let mut spent = 0;
+        while node.can_spend(step) {
+            node.spend(step);
+            spent += 1;
+        }
+        spent
+    };
+    expect_that!(spend_all(&mut node, TrialStep::Steady), eq(1));
+    expect_that!(spend_all(&mut node, TrialStep::Surge), gt(40));
+    expect_that!(spend_all(&mut node, TrialStep::Watch), eq(0));
+}
+
+#[googletest::test]
+fn a_thread_that_sees_bad_answers_stops_by_itself() {
+    let mut random = Random::new(1);
+    let mut node = new_state(1, false, &mut random);
+    for _ in 0..1_000 {
+        node.earn();
+    }
+    for leaf in 0..3 {
+        expect_that!(node.can_spend(TrialStep::Surge), eq(true));
+        node.record("r", leaf, true, AnswerQuality::Bad);
+    }
+    expect_that!(node.can_spend(TrialStep::Surge), eq(false));
+}
+
+#[googletest::test]
+fn a_slow_answer_of_the_new_version_names_its_leaf() {
+    let mut random = Random::new(1);
+    let mut node = new_state(1, false, &mut random);
+    for _ in 0..20 {
+        node.record("r", 1, false, AnswerQuality::Good(ms(20)));
+    }
+    node.record("r", 2, true, AnswerQuality::Good(ms(30)));
+    expect_that!(node.evidence.poor_leafs.is_empty(), eq(true));
+    node.record("r", 3, true, AnswerQuality::Good(ms(200)));
+    expect_that!(node.evidence.poor_leafs.len(), eq(1));
+}
--- a/crates/runtime/src/settings/reader.rs
+++ b/crates/runtime/src/settings/reader.rs
@@ -57,6 +57,8 @@
         }
         let place = format!("params.{name}");
         match self.file.get(name)? {
+            // A template writes this for what its platform does not tell.
+            Value::Null => None,
             Value::String(s) => Some((place, s.clone())),
             Value::Number(n) => Some((place, n.to_string())),
             Value::Bool(b) => Some((place, b.to_string())),
--- a/crates/server/src/controller/metrics.rs
+++ b/crates/server/src/controller/metrics.rs
@@ -6,7 +6,6 @@
 use grebepath_core::config::route::RoutingTable;
 use grebepath_core::config::types::Config;
 use grebepath_core::control_plane::controller::ControllerState;
-use grebepath_core::http_api::rollout::phase_name;
 use grebepath_core::protocol::replica::ReplicaCondition;
 use grebepath_core::replication::partition::{Partition, Role};
 use grebepath_core::rollout::record::{Rollout, rollouts_in};
@@ -134,7 +133,7 @@
     let _ = writeln!(out, "# TYPE grebe_rollout_phase gauge");
     for rollout in rollouts_in(&core.partitions[0].committed) {
         let Rollout { service, target, .. } = &rollout;
-        let phase = phase_name(rollout.phase());
+        let phase = rollout.phase().name();
         let _ = writeln!(
             out,
             "grebe_rollout_phase{{service=\"{service}\",version=\"{target}\",phase=\"{phase}\"}} 1"
--- a/crates/server/src/querier/main.rs
+++ b/crates/server/src/querier/main.rs
@@ -103,6 +103,7 @@
             stop: stop.clone(),
             platform_api: settings.platform_api,
             retry_rate: settings.retry_rate,
+            exposure_limit: settings.exposure_limit,
             slot: quota::slot(&settings.name, index as u32),
         };
         let thread = std::thread::Builder::new().name(format!("traffic-{index}"));
--- a/crates/server/src/querier/membership_io.rs
+++ b/crates/server/src/querier/membership_io.rs
@@ -128,6 +128,7 @@
             Ok(settings) => {
                 self.controllers.set_seeds(&settings.seeds);
                 self.tell_engines(|| event::Event::RetryRate(settings.retry_rate));
+                self.tell_engines(|| event::Event::ExposureLimit(settings.exposure_limit));
             }
             Err(diagnostics) => {
                 for diagnostic in diagnostics {
@@ -210,6 +211,9 @@
                 Command::ServingUntil(until) => {
                     self.tell_engines(|| event::Event::LeaseValidUntil(until))
                 }
+                Command::TrialsUntil(until) => {
+                    self.tell_engines(|| event::Event::TrialsUntil(until))
+                }
                 Command::Ready(ready) => {
                     let _ = self.published.ready.send(ready);
                 }
--- a/crates/server/src/querier/membership_thread.rs
+++ b/crates/server/src/querier/membership_thread.rs
@@ -154,6 +154,9 @@
             MembershipInput::LeafReport { service, report } => {
                 Some(Event::LeafReport { service, report })
             }
+            MembershipInput::TrialEvidence { thread, evidence } => {
+                Some(Event::TrialEvidence { thread, evidence })
+            }
             MembershipInput::LeafList { leafs, pages } => {
                 self.io.leaf_list.note_end(pages);
                 Some(Event::LeafList(leafs.map_err(|error| error.to_string())))
--- a/crates/server/src/querier/messages.rs
+++ b/crates/server/src/querier/messages.rs
@@ -11,6 +11,7 @@
 use grebepath_core::query::forwarded_request::ForwardedRequest;
 use grebepath_core::query::request::{Outcome, SearchRequest};
 use grebepath_core::query::statistics::EngineStatistics;
+use grebepath_core::rollout::evidence::TrialEvidence;
 use grebepath_core::snapshot::cluster_view::ClusterView;
 use grebepath_core::snapshot::leafs::LeafInfo;
 use tokio::sync::mpsc::UnboundedSender;
@@ -28,6 +29,13 @@
         /// What it says.
         report: LeafReport,
     },
+    /// What a traffic thread has seen of a version that is tried.
+    TrialEvidence {
+        /// The thread's stable number.
+        thread: u64,
+        /// What it has seen.
+        evidence: TrialEvidence,
+    },
     /// A poll of the leaf list has ended.
     LeafList {
         /// The list, or why there is none.
--- a/crates/server/src/querier/metrics.rs
+++ b/crates/server/src/querier/metrics.rs
@@ -41,6 +41,8 @@
         out.retries += c.retries;
         out.retries_denied += c.retries_denied;
         out.cancelled += c.cancelled;
+        out.trial_attempts += c.trial_attempts;
+        out.trial_failures += c.trial_failures;
         for (i, n) in c.latency_buckets.iter().enumerate() {
             out.latency_buckets[i] += n;
         }
@@ -87,6 +89,9 @@
     one(o, "counter", "grebe_second_tries_total", "Second and later tries.", c.retries);
     one(o, "counter", "grebe_second_tries_denied_total", "Second tries denied.", c.retries_denied);
     one(o, "counter", "grebe_dispatches_dropped_total", "Dispatches given up.", c.cancelled);
+    let help = "Attempts at versions that are tried.";
+    one(o, "counter", "grebe_trial_attempts_total", help, c.trial_attempts);
+    one(o, "counter", "grebe_trial_failures_total", "Of these, failed.", c.trial_failures);
     one(o, "gauge", "grebe_queries", "Queries in hand.", c.queries);
     one(o, "gauge", "grebe_dispatches", "Dispatches out.", c.in_flight);
     one(o, "gauge", "grebe_wanting", "Shards of queries that wait for room.", c.queued);
--- a/crates/server/src/querier/settings.rs
+++ b/crates/server/src/querier/settings.rs
@@ -5,6 +5,7 @@
 use grebepath_core::consts::{self, SEATS_MAX};
 use grebepath_core::diagnostic::Diagnostic;
 use grebepath_core::query::service_retry_budget::RetryRate;
+use grebepath_core::rollout::trial::ExposureLimit;
 use grebepath_core::time::Span;
 use grebepath_runtime::platform_api::PlatformApi;
 use grebepath_runtime::settings::command_line::{
@@ -20,7 +21,7 @@
 const DESCRIPTION: &str = "grebepath's data plane";
 
 /// The flags, in the order of the help text.
-const FLAGS: [Flag; 17] = [
+const FLAGS: [Flag; 19] = [
     Flag { name: "name", argument: "NAME", help: "this querier's name, its own in the fleet" },
     ZONE_FLAG,
     Flag { name: "listen", argument: "IP:PORT", help: "address for callers" },
@@ -59,6 +60,16 @@
         argument: "N",
         help: "second tries beyond that, over the whole fleet",
     },
+    Flag {
+        name: "exposure-share",
+        argument: "SHARE",
+        help: "share of a service's requests that may reach a version that is tried, 0 to 1 (0.1)",
+    },
+    Flag {
+        name: "exposure-slack",
+        argument: "N",
+        help: "requests beyond that, over the whole fleet (0)",
+    },
     Flag {
         name: "grace-s",
         argument: "S",
@@ -99,6 +110,8 @@
     pub check: Option<SocketAddr>,
     /// The fleet's retry budget for calls that are forwarded.
     pub retry_rate: RetryRate,
+    /// How much may reach a version that is tried.
+    pub exposure_limit: ExposureLimit,
     /// Time from the request to stop until the process must be gone.
     pub grace: Option<Span>,
     /// Whether leafs are asked about themselves.
@@ -144,6 +157,7 @@
             platform_api,
             check: reader.optional_address("check"),
             retry_rate: read_retry_rate(reader),
+            exposure_limit: read_exposure_limit(reader),
             grace: reader.optional_seconds("grace_s"),
             probes: reader.choice("probes", &["on", "off"], "on") == "on",
             list_rate: reader.positive_amount("list_rate", consts::LIST_RATE),
@@ -154,6 +168,15 @@
     }
 }
 
+fn read_exposure_limit(reader: &mut SettingsReader) -> ExposureLimit {
+    let default = ExposureLimit::default();
+    ExposureLimit {
+        per_thousand: reader.share_in_thousandths("exposure_share", default.per_thousand),
+        slack: reader.bound("exposure_slack", SLACK_MAX, default.slack),
+        ..default
+    }
+}
+
 fn read_retry_rate(reader: &mut SettingsReader) -> RetryRate {
     let default = RetryRate::standard();
     RetryRate {
--- a/crates/server/src/querier/traffic_thread.rs
+++ b/crates/server/src/querier/traffic_thread.rs
@@ -11,6 +11,7 @@
 use grebepath_core::query::event::{Command, Event, OutgoingAttempt};
 use grebepath_core::query::request::Outcome;
 use grebepath_core::query::service_retry_budget::{RetryRate, ServiceRetryBudget};
+use grebepath_core::rollout::trial::ExposureLimit;
 use grebepath_core::time::ms;
 use grebepath_runtime::clock::{Clock, duration};
 use grebepath_runtime::forwarding_server::{ForwardingServer, ListenerLimits};
@@ -50,6 +51,8 @@
     pub platform_api: Option<&'static PlatformApi>,
     /// The fleet's retry budget for calls that are forwarded.
     pub retry_rate: RetryRate,
+    /// How much may reach a version that is tried.
+    pub exposure_limit: ExposureLimit,
     /// This thread's stable number in the membership.
     pub slot: u64,
 }
@@ -73,6 +76,8 @@
     forwarding: Rc<ForwardingServer>,
     inputs: UnboundedSender<TrafficInput>,
     membership: UnboundedSender<MembershipInput>,
+    /// This thread's stable number.
+    thread: u64,
 }
 
 /// Runs the thread until told to stop.
@@ -128,6 +133,7 @@
         let mut engine = QueryEngine::new(&start.name, &start.zone, start.seed, start.clock.now());
         engine.service_retry_budget = ServiceRetryBudget::new(start.retry_rate);
         engine.thread_id = start.slot;
+        engine.trials.limit = start.exposure_limit;
         let io = TrafficIo {
             waiting: HashMap::new(),
             attempts: HashMap::new(),
@@ -136,6 +142,7 @@
             forwarding,
             inputs: start.inputs.clone(),
             membership: start.threads.membership.clone(),
+            thread: start.slot,
         };
         TrafficThread { clock: start.clock, engine, io, draining: false }
     }
@@ -239,6 +246,11 @@
                 Command::ReportLeaf { service, report } => {
                     let _ = self.membership.send(MembershipInput::LeafReport { service, report });
                 }
+                Command::ReportTrial(evidence) => {
+                    let thread = self.thread;
+                    let _ =
+                        self.membership.send(MembershipInput::TrialEvidence { thread, evidence });
+                }
             }
         }
     }
--- a/crates/simulator/src/mock_backends.rs
+++ b/crates/simulator/src/mock_backends.rs
@@ -11,6 +11,7 @@
 
 use crate::oracle;
 use crate::spec::{Service, Spec};
+use crate::version_fault::VersionFault;
 
 /// How a leaf misbehaves.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -91,6 +92,10 @@
     pub over: u64,
     /// The postmark of its last response.
     pub postmark: Option<String>,
+    /// The version of its software, empty if the list does not tell it.
+    pub version: String,
+    /// How its version misbehaves.
+    pub version_fault: VersionFault,
 }
 
 /// All leafs, and the list as the platform shows it.
@@ -188,6 +193,8 @@
                 worst_pct: 0,
                 over: 0,
                 postmark: None,
+                version: String::new(),
+                version_fault: VersionFault::Sound,
             },
         );
         name
@@ -200,9 +207,13 @@
             .values()
             .filter(|l| l.alive == Alive::Up)
             .map(|l| {
-                json!({ "leaf": l.name, "service": l.service.name, "addr": l.addr,
+                let mut leaf = json!({ "leaf": l.name, "service": l.service.name, "addr": l.addr,
                         "labels": { "zone": l.zone, "cut": l.service.cut,
-                                    "state": if l.leaving { "leaving" } else { "ready" } } })
+                                    "state": if l.leaving { "leaving" } else { "ready" } } });
+                if !l.version.is_empty() {
+                    leaf["labels"]["version"] = json!(l.version);
+                }
+                leaf
             })
             .collect();
         json!({ "leafs": leafs }).to_string()
@@ -275,6 +286,12 @@
         base / 2 + random.below(base / 2 + 1) + over + extra
     }
 
+    /// Whether its version breaks the answer to an attempt that it ends now.
+    pub fn breaks_answer(&self, now: Tick, search: &str, random: &mut Random) -> bool {
+        let in_progress = self.in_progress + 1;
+        self.version_fault.breaks_answer(now, self.born, in_progress, search, random)
+    }
+
     /// Whether it tells now that it leaves.
     pub fn says_leaving(&self) -> bool {
         self.leaving && self.tells_leaving
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -6,6 +6,8 @@
 
 use grebepath_core::time::{SECOND, Tick, ms};
 
+use crate::rollout_rules::RolloutRules;
+
 /// A violation of a rule.
 #[derive(Clone, Debug)]
 pub struct Violation {
@@ -55,6 +57,8 @@
     /// By operator without ids: its zone's state by its last acknowledged order, and the order
     /// that it waits for.
     pub senders: BTreeMap<usize, SenderOrders>,
+    /// What is known of rollouts.
+    pub rollouts: RolloutRules,
     /// Restarts after which service must recover.
     pub pending_restarts: Vec<RestartCheck>,
     /// Restarts that were judged, for the report.
@@ -330,6 +334,9 @@
 
     /// Checks that can be made only at the end.
     pub fn finish(&mut self, now: Tick, threads: usize) {
+        for (rule, text) in self.rollouts.finish() {
+            self.violated(now, rule, text);
+        }
         let ((worst, _), allowed) = (self.retry_excess(), self.retry_allowance(threads));
         if worst > allowed as i64 {
             let text = format!("{worst} second tries over a fifth in 10 s, {allowed} allowed");
--- a/crates/simulator/src/scenario/apply.rs
+++ b/crates/simulator/src/scenario/apply.rs
@@ -45,6 +45,7 @@
             }
             "list" => self.backends.list_mode = list_mode(parameters).unwrap_or(ListMode::Good),
             "add-leafs" => self.add_leafs(parameters),
+            "rollout" => self.add_rollout(parameters),
             "mend-all" => self.end_all_faults(parameters["factor"].as_f64().unwrap_or(self.factor)),
             "load" => self.factor = parameters["factor"].as_f64().unwrap_or(1.0),
             _ => self.apply_to_leafs(fault),
--- a/crates/simulator/src/scenario/read.rs
+++ b/crates/simulator/src/scenario/read.rs
@@ -8,6 +8,7 @@
 use super::{Scenario, ScheduledFault};
 use crate::files::FileError;
 use crate::spec::{self, Spec, SpecError};
+use crate::version_fault::VersionFault;
 use crate::world;
 
 /// The actions of scenarios, each with the fields it may have beside `at_s`.
@@ -43,6 +44,20 @@
     ("storm", &["count", "gap_ms"]),
     ("race", &["count"]),
     ("orders-without-id", &["zone", "count"]),
+    (
+        "rollout",
+        &[
+            "service",
+            "version",
+            "over_s",
+            "how",
+            "per_mille",
+            "after_ms",
+            "load",
+            "search",
+            "times",
+        ],
+    ),
     ("hold-seat", &["which", "for_s"]),
     ("add-leafs", &["service", "zone", "count"]),
     ("mend-all", &["factor"]),
@@ -233,6 +248,9 @@
     if action == "leafs" && leaf_mode(value).is_none() {
         find(diagnostics, format!("{at}.mode"), "unknown mode of leafs");
     }
+    if action == "rollout" && VersionFault::read(value).is_none() {
+        find(diagnostics, format!("{at}.how"), "unknown fault of a version");
+    }
     if action == "list" && list_mode(value).is_none() {
         find(diagnostics, format!("{at}.mode"), "expected good, empty, garbage, dead or stale");
     }
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -58,6 +58,7 @@
             faulty_variant: None,
             cold_leafs: Default::default(),
             zone_operators: Vec::new(),
+            rollout_operators: Vec::new(),
             membership_memory: Default::default(),
             disturbances: Default::default(),
             faults: Vec::new(),
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -155,6 +155,23 @@
         /// The request that it waited for.
         request: usize,
     },
+    /// An operator looks how its rollout stands.
+    RolloutLook {
+        /// The operator's number.
+        operator: usize,
+    },
+    /// An operator of a rollout has waited for an answer for as long as it does.
+    RolloutSilence {
+        /// The operator's number.
+        operator: usize,
+        /// The request that it waited for.
+        request: usize,
+    },
+    /// The leafs of a version that was returned leave.
+    RolloutLeafsLeave {
+        /// The operator's number.
+        operator: usize,
+    },
     /// An operator's change that shows whether the control plane has recovered.
     ChangeAfterRestart {
         /// The number of the restart among those that are judged.
--- a/crates/simulator/src/world/faulty_variant.rs
+++ b/crates/simulator/src/world/faulty_variant.rs
@@ -46,6 +46,14 @@
     WarmsUpByUnsettledMembers,
     /// Leaders count what a voter acknowledged before its process restarted.
     CountsFormerAcknowledgements,
+    /// Queriers send to leafs of every version.
+    IgnoresVersions,
+    /// Every request may go to a version that is tried.
+    NoExposureLimit,
+    /// The same, threads never stop by themselves, and no controller hears what they see.
+    NeverReturns,
+    /// Operators are told that a rollout has ended as soon as it has turned.
+    TellsEndsEarly,
     /// Orders without id and base are carried out under an id that is made up for each.
     MakesUpRequestIds,
     /// A controller that is asked to stop ends before its successor holds the data.
--- a/crates/simulator/src/world/leafs.rs
+++ b/crates/simulator/src/world/leafs.rs
@@ -15,6 +15,8 @@
 use crate::mock_backends::{Alive, Mode};
 use crate::net::latency;
 
+/// The version of the leafs that a run begins with: the list does not tell it.
+const FIRST_VERSION: &str = "";
 /// Time that a process takes to close a connection.
 const CLOSE_DELAY: Span = ms(1);
 /// Status of a response to a request whose digest is wrong.
@@ -31,7 +33,13 @@
         let who = self.queriers[engine.querier].name.clone();
         if let Some(leaf) = self.backends.leafs.get(&sending.leaf) {
             let (zone, known) = (leaf.zone.clone(), leaf.known_leaving.map(|k| k - BEGIN));
+            let version = leaf.version.clone();
             self.rules.check_dispatch(now, &who, &sending.leaf, &zone, known);
+            if let Some((rule, text)) =
+                self.rules.rollouts.sent(now, &sending.service, &version, FIRST_VERSION)
+            {
+                self.rules.violated(now, rule, format!("{who}: {text}"));
+            }
         }
         if let Some(shown_for) = self.shown_leaving_for(&sending.leaf)
             && self.is_in_touch(engine.querier)
@@ -183,7 +191,15 @@
             return self.answer(key, &zone, Ok(response));
         }
         leaf.ran += 1;
-        let took = leaf.service_time(now, &mut self.random);
+        let (service, version) = (leaf.service.name.clone(), leaf.version.clone());
+        let times = leaf.version_fault.slow_down(&mut self.random);
+        let took = leaf.service_time(now, &mut self.random) * times;
+        if times > 1 {
+            self.rules.rollouts.answered_badly(now - BEGIN, &service, &version);
+        }
+        if let Some((rule, text)) = self.rules.rollouts.arrived(now - BEGIN, &service, &version) {
+            self.rules.violated(now - BEGIN, rule, text);
+        }
         let asked: Value = serde_json::from_slice(&sending.body).unwrap_or(Value::Null);
         let question = asked["question"].as_str().unwrap_or_default();
         self.rules.check_question(now - BEGIN, &name, question);
@@ -212,7 +228,12 @@
         }
         let mut raw = leaf.response(now, &run.sending);
         let asked: Value = serde_json::from_slice(&run.sending.body).unwrap_or(Value::Null);
-        if mock_backends::answers_correctly(leaf.mode, asked["limit"].as_u64().unwrap_or(0)) {
+        let search = asked["mapping"].as_str().unwrap_or_default();
+        if leaf.breaks_answer(now, search, &mut self.random) {
+            raw.body.truncate(raw.body.len() / 2);
+            self.rules.rollouts.answered_badly(now - BEGIN, &leaf.service.name, &leaf.version);
+        } else if mock_backends::answers_correctly(leaf.mode, asked["limit"].as_u64().unwrap_or(0))
+        {
             let question = asked["question"].as_str().unwrap_or_default();
             self.rules.record_answer(&leaf.service.name, &run.sending.id, question);
         }
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -30,6 +30,7 @@
 mod operators;
 mod queriers;
 mod query_engines;
+mod rollouts;
 mod status;
 mod time_loop;
 mod zone_operators;
@@ -78,6 +79,8 @@
     pub operator_requests: Vec<OperatorRequest>,
     /// Operators that give orders without ids.
     zone_operators: Vec<zone_operators::ZoneOperator>,
+    /// Operators that move services to other versions.
+    rollout_operators: Vec<rollouts::RolloutOperator>,
     /// The checkers.
     pub rules: Rules,
     /// How calls ended, by search.
--- a/crates/simulator/src/world/node_agents.rs
+++ b/crates/simulator/src/world/node_agents.rs
@@ -9,7 +9,7 @@
 use grebepath_core::query::engine::ServingState;
 use grebepath_core::query::event as query_event;
 use grebepath_core::snapshot::cluster_view::ClusterView;
-use grebepath_core::snapshot::leafs::LeafInfo;
+use grebepath_core::snapshot::leafs::{LeafInfo, leafs_in};
 use grebepath_core::time::{Span, ms};
 
 use super::events::{FollowUp, QueryEngineId, ScheduledEvent};
@@ -72,6 +72,9 @@
             node_agent::Command::ServingUntil(until) => {
                 self.tell_threads(querier, || query_event::Event::LeaseValidUntil(until));
             }
+            node_agent::Command::TrialsUntil(until) => {
+                self.tell_threads(querier, || query_event::Event::TrialsUntil(until));
+            }
             node_agent::Command::Ready(ready) => self.queriers[querier].ready = ready,
             node_agent::Command::PollLeafList => self.poll_list(querier),
             node_agent::Command::ProbeLeafs(list) => {
@@ -135,12 +138,21 @@
                 hide_leaving(&mut own);
                 Arc::new(own)
             }
+            Some(FaultyVariant::IgnoresVersions) => {
+                let leafs = all_leafs(&self.queriers[querier].node_agent);
+                Arc::new(ClusterView::new(view.revision, view.built.clone(), leafs))
+            }
             _ => view,
         };
         self.tell_threads(querier, || query_event::Event::ClusterView(view.clone()));
     }
 
     fn send_from_querier(&mut self, querier: usize, controller: usize, message: Message) {
+        if self.faulty_variant == Some(FaultyVariant::NeverReturns)
+            && matches!(message, Message::RolloutVote { .. })
+        {
+            return;
+        }
         self.net.record("querier-controller", &message);
         let from = self.queriers[querier].endpoint(querier);
         let receiver = self.controllers[controller].endpoint(controller);
@@ -177,3 +189,9 @@
         }
     }
 }
+
+/// Every leaf that a querier knows of, whatever its version.
+fn all_leafs(agent: &node_agent::NodeAgent) -> Vec<LeafInfo> {
+    let partitions = agent.partitions.values();
+    partitions.flat_map(|state| leafs_in(&state.entries).into_values()).collect()
+}
--- a/crates/simulator/src/world/operator_request.rs
+++ b/crates/simulator/src/world/operator_request.rs
@@ -44,6 +44,8 @@
     pub held_for: Span,
     /// Whose order it is an attempt of, if its sender gives no ids.
     pub unnamed: Option<UnnamedOrder>,
+    /// The operator of rollouts that waits for it.
+    pub rollout: Option<usize>,
 }
 
 impl OperatorRequest {
@@ -59,9 +61,15 @@
             expect: None,
             held_for: 0,
             unnamed: None,
+            rollout: None,
         }
     }
 
+    /// Asks for something that is no change of the configuration.
+    pub fn asking(operation: Operation) -> Self {
+        Self::new(operation)
+    }
+
     /// Replaces the configuration.
     pub fn replace(config: &Value) -> Self {
         Self::new(Operation::Replace(config.to_string().into_bytes()))
--- a/crates/simulator/src/world/operators.rs
+++ b/crates/simulator/src/world/operators.rs
@@ -130,6 +130,9 @@
         if let Some(order) = self.operator_requests[id].unnamed {
             self.answer_zone_operator(order, id);
         }
+        if let Some(operator) = self.operator_requests[id].rollout {
+            self.answer_rollout_operator(operator, id);
+        }
     }
 
     /// The newest configuration that a voter has committed.
--- a/crates/simulator/src/world/query_engines.rs
+++ b/crates/simulator/src/world/query_engines.rs
@@ -2,6 +2,7 @@
 
 use grebepath_core::membership::node_agent;
 use grebepath_core::query::event as query_event;
+use grebepath_core::rollout::trial::ExposureLimit;
 use grebepath_core::time::{BOOT, Tick};
 
 use super::World;
@@ -9,6 +10,21 @@
 use super::faulty_variant::FaultyVariant;
 use super::node_agents::THREAD_DELAY;
 
+/// Requests that may reach versions that are tried beyond their share, over the whole fleet.
+const EXPOSURE_SLACK: u64 = 50;
+
+/// How much the fleet lets reach versions that are tried; a faulty one lets all.
+fn exposure_limit(variant: Option<FaultyVariant>) -> ExposureLimit {
+    let sound = ExposureLimit { slack: EXPOSURE_SLACK, ..ExposureLimit::default() };
+    match variant {
+        Some(FaultyVariant::NoExposureLimit) => ExposureLimit { per_thousand: 1_000, ..sound },
+        Some(FaultyVariant::NeverReturns) => {
+            ExposureLimit { per_thousand: 1_000, bad_to_stop: u32::MAX, ..sound }
+        }
+        _ => sound,
+    }
+}
+
 impl World {
     /// A query engine's timer fires, unless it was set anew meanwhile.
     pub(super) fn wake_query_engine(&mut self, engine: QueryEngineId, at: Tick) {
@@ -31,6 +47,7 @@
         if self.faulty_variant == Some(FaultyVariant::NoRetryBudget) {
             node.query_engines[thread].retry_budget.set_slack(1_000_000);
         }
+        node.query_engines[thread].trials.limit = exposure_limit(self.faulty_variant);
         let todo = node.query_engines[thread].step(local, event);
         if deaf {
             for leaf in node.query_engines[thread].leafs.values_mut() {
@@ -73,6 +90,11 @@
                 self.close_attempt(AttemptKey { engine, attempt: dispatch });
             }
             query_event::Command::Respond { call, outcome } => self.finish_call(call, outcome),
+            query_event::Command::ReportTrial(evidence) => {
+                let thread = self.queriers[querier].query_engines[thread].thread_id;
+                let event = node_agent::Event::TrialEvidence { thread, evidence };
+                self.push(THREAD_DELAY, ScheduledEvent::NodeAgentEvent { querier, life, event });
+            }
             query_event::Command::ReportLeaf { service, report: word } => {
                 if self.faulty_variant != Some(FaultyVariant::IgnoresLeavingLeafs) {
                     self.push(
--- /dev/null
+++ b/crates/simulator/src/world/rollouts.rs
@@ -0,0 +1,181 @@
+//! Operators that move services to other versions, and the leafs of those versions.
+
+use grebepath_core::protocol::operation::{Operation, OperationResult};
+use grebepath_core::rollout::order::RolloutOrder;
+use grebepath_core::rollout::record::{Rollout, RolloutPhase};
+use grebepath_core::time::{MILLI, SECOND, Span, ms};
+use serde_json::Value;
+
+use super::events::FollowUp;
+use super::faulty_variant::FaultyVariant;
+use super::operator_request::OperatorRequest;
+use super::{BEGIN, World};
+use crate::mock_backends::Alive;
+use crate::rollout_rules::ToldEnd;
+use crate::version_fault::VersionFault;
+
+/// Silence after which an operator asks again.
+const PATIENCE: Span = SECOND;
+/// Pause between two looks at a rollout that goes on.
+const LOOK: Span = ms(300);
+/// Looks at a rollout after its end (count): it must stay as it is.
+const LOOKS_AFTER_END: u32 = 10;
+/// Time from the end of a rollout that is returned until its leafs leave.
+const LEAVES_AFTER: Span = 2 * SECOND;
+/// How long a rollout takes at the most, if the scenario does not say.
+const DEFAULT_TERM_S: f64 = 12.0;
+
+/// An operator and the rollout that it has ordered.
+pub struct RolloutOperator {
+    order: RolloutOrder,
+    /// The leafs of the version that it moves to.
+    leafs: Vec<String>,
+    is_ordered: bool,
+    waits_for: Option<usize>,
+    looks_left: u32,
+    is_over: bool,
+}
+
+impl World {
+    /// An operator orders a rollout, and leafs of the new version start beside the others.
+    pub fn add_rollout(&mut self, parameters: &Value) {
+        let text =
+            |key: &str, default: &str| parameters[key].as_str().unwrap_or(default).to_string();
+        let (service, target) = (text("service", ""), text("version", "v2"));
+        let fault = VersionFault::read(parameters).unwrap_or(VersionFault::Sound);
+        let term_ms = (parameters["over_s"].as_f64().unwrap_or(DEFAULT_TERM_S) * 1e3) as u64;
+        let now = self.now - BEGIN;
+        self.rules.rollouts.ordered(now, &service, &target, fault.is_bad(), term_ms * MILLI);
+        let leafs = self.start_version(&service, &target, &fault);
+        let order = RolloutOrder { service, target, term_ms };
+        let operator = RolloutOperator {
+            order,
+            leafs,
+            is_ordered: false,
+            waits_for: None,
+            looks_left: LOOKS_AFTER_END,
+            is_over: false,
+        };
+        self.rollout_operators.push(operator);
+        self.ask_about_rollout(self.rollout_operators.len() - 1);
+    }
+
+    /// Starts a leaf of a version beside each leaf of a service.
+    fn start_version(&mut self, service: &str, version: &str, fault: &VersionFault) -> Vec<String> {
+        let now = self.now;
+        let standing = self.backends.leafs.values();
+        let standing = standing.filter(|l| l.service.name == service && l.alive == Alive::Up);
+        let places: Vec<_> = standing.map(|l| (l.service.clone(), l.zone.clone())).collect();
+        let mut names = Vec::new();
+        for (service, zone) in places {
+            let address = self.backends.unused_address();
+            let name = self.backends.start_leaf(service, &zone, address, now);
+            if let Some(leaf) = self.backends.leafs.get_mut(&name) {
+                leaf.version = version.to_string();
+                leaf.version_fault = fault.clone();
+            }
+            names.push(name);
+        }
+        self.backends.list_changed(now);
+        names
+    }
+
+    /// The operator gives its order, or looks how the rollout stands.
+    pub(super) fn ask_about_rollout(&mut self, operator: usize) {
+        let entry = &self.rollout_operators[operator];
+        let order = entry.order.clone();
+        let mut request = if entry.is_ordered {
+            OperatorRequest::asking(Operation::ReadRollout(order.service))
+        } else {
+            let mut request = OperatorRequest::asking(Operation::StartRollout(order));
+            request.request = Some(format!("rollout-{operator}"));
+            request
+        };
+        request.rollout = Some(operator);
+        let number = self.submit(0, request);
+        self.rollout_operators[operator].waits_for = Some(number);
+        self.later(PATIENCE, FollowUp::RolloutSilence { operator, request: number });
+    }
+
+    /// The operator has heard nothing for a while, and asks another controller.
+    pub(super) fn end_rollout_patience(&mut self, operator: usize, request: usize) {
+        if self.rollout_operators[operator].waits_for == Some(request) {
+            self.ask_about_rollout(operator);
+        }
+    }
+
+    /// An answer reaches the operator, if it still waits for it.
+    pub(super) fn answer_rollout_operator(&mut self, operator: usize, request: usize) {
+        if self.rollout_operators[operator].waits_for != Some(request) {
+            return;
+        }
+        self.rollout_operators[operator].waits_for = None;
+        match self.operator_requests[request].result.clone() {
+            Some(OperationResult::Accepted { .. }) => {
+                self.rollout_operators[operator].is_ordered = true;
+            }
+            Some(OperationResult::Rollout(Some(rollout))) => {
+                let end = self.told_end(&rollout);
+                self.note_told(operator, end);
+            }
+            _ => {}
+        }
+        if self.rollout_operators[operator].looks_left > 0 {
+            self.later(LOOK, FollowUp::RolloutLook { operator });
+        }
+    }
+
+    /// What an operator reads in an answer.
+    fn told_end(&self, rollout: &Rollout) -> Option<ToldEnd> {
+        let tells_early = self.faulty_variant == Some(FaultyVariant::TellsEndsEarly);
+        match rollout.phase() {
+            RolloutPhase::Delivered => Some(ToldEnd::Delivered),
+            RolloutPhase::Returned => Some(ToldEnd::Returned),
+            RolloutPhase::Forward if tells_early => Some(ToldEnd::Delivered),
+            RolloutPhase::Back if tells_early => Some(ToldEnd::Returned),
+            RolloutPhase::Trial | RolloutPhase::Forward | RolloutPhase::Back => None,
+        }
+    }
+
+    /// The operator is told how its rollout stands.
+    fn note_told(&mut self, operator: usize, end: Option<ToldEnd>) {
+        let now = self.now - BEGIN;
+        let entry = &mut self.rollout_operators[operator];
+        let was_over = std::mem::replace(&mut entry.is_over, end.is_some());
+        if end.is_some() {
+            entry.looks_left -= 1;
+        }
+        let (service, leafs) = (entry.order.service.clone(), entry.leafs.clone());
+        if let Some((rule, text)) = self.rules.rollouts.told(now, &service, end) {
+            self.rules.violated(now, rule, text);
+        }
+        match end {
+            Some(ToldEnd::Delivered) if !was_over => self.stop_other_versions(&service, &leafs),
+            Some(ToldEnd::Returned) if !was_over => {
+                self.later(LEAVES_AFTER, FollowUp::RolloutLeafsLeave { operator });
+            }
+            _ => {}
+        }
+    }
+
+    /// The leafs of a service's other versions stop at once.
+    fn stop_other_versions(&mut self, service: &str, kept: &[String]) {
+        let all = self.backends.leafs.values().filter(|leaf| leaf.service.name == service);
+        let others: Vec<String> =
+            all.map(|leaf| leaf.name.clone()).filter(|name| !kept.contains(name)).collect();
+        for name in others {
+            self.kill_leaf(&name, Alive::Down);
+        }
+        self.backends.list_changed(self.now);
+    }
+
+    /// The leafs of a version that was returned leave.
+    pub(super) fn version_leaves(&mut self, operator: usize) {
+        for name in self.rollout_operators[operator].leafs.clone() {
+            if let Some(leaf) = self.backends.leafs.get_mut(&name) {
+                leaf.leaving = true;
+            }
+        }
+        self.backends.list_changed(self.now);
+    }
+}
--- a/crates/simulator/src/world/time_loop.rs
+++ b/crates/simulator/src/world/time_loop.rs
@@ -185,6 +185,11 @@
                 }
             }
             FollowUp::ZoneOrder { operator } => self.begin_zone_order(operator),
+            FollowUp::RolloutLook { operator } => self.ask_about_rollout(operator),
+            FollowUp::RolloutSilence { operator, request } => {
+                self.end_rollout_patience(operator, request);
+            }
+            FollowUp::RolloutLeafsLeave { operator } => self.version_leaves(operator),
             FollowUp::OperatorSilence { operator, request } => {
                 self.end_operator_patience(operator, request);
             }
