Play rollouts in the simulator, with checkers 15 to 18 and four broken variants

Scenarios may order rollouts of sound versions and of those that fail at once, late, under load, for one search or by being slow.

--- /dev/null
+++ b/crates/simulator/tests/rollouts.rs
@@ -0,0 +1,99 @@
+//! Rollouts over the whole fleet: sound versions are delivered, bad ones returned, whatever else
+//! happens, and the checkers catch fleets that are broken on purpose.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use grebepath_simulator::chaos::at;
+use grebepath_simulator::rollout_rules::ToldEnd;
+use grebepath_simulator::scenario::play;
+use grebepath_simulator::world::{FaultyVariant, World};
+use serde_json::{Value, json};
+
+/// A service that two kinds of calls ask, as one shard of four.
+const SERVICE: &str = "mohalla-notices-w48-1";
+/// When rollouts are ordered (s).
+const ORDERED_AT: f64 = 4.0;
+
+/// A run with a rollout of 12 s and other faults.
+fn played(fault: Value, others: Vec<Value>, seed: u64, variant: Option<FaultyVariant>) -> World {
+    let mut rollout = json!({ "do": "rollout", "service": SERVICE, "over_s": 12.0 });
+    rollout.as_object_mut().unwrap().extend(fault.as_object().unwrap().clone());
+    let mut troubles = vec![at(ORDERED_AT, rollout)];
+    troubles.extend(others);
+    let scenario = common::scenario("rollout", 24, 0.6, troubles);
+    play(&scenario, seed, variant)
+}
+
+/// The end that the operator was told.
+fn end(world: &World) -> Option<ToldEnd> {
+    world.rules.rollouts.ends()[SERVICE][0]
+}
+
+fn assert_ends(fault: Value, others: Vec<Value>, seed: u64, expected: ToldEnd) {
+    let world = played(fault.clone(), others, seed, None);
+    let found = &world.rules.violations;
+    assert!(found.is_empty(), "{fault}, seed {seed}: {found:?}");
+    assert_eq!(end(&world), Some(expected), "{fault}, seed {seed}");
+}
+
+#[test]
+fn a_sound_version_is_delivered() {
+    for seed in 1..4 {
+        assert_ends(json!({}), Vec::new(), seed, ToldEnd::Delivered);
+    }
+}
+
+#[test]
+fn a_version_that_is_bad_at_once_late_slow_under_load_or_for_one_search_is_returned() {
+    let faults = [
+        json!({ "how": "errors" }),
+        json!({ "how": "late" }),
+        json!({ "how": "slow" }),
+        json!({ "how": "under-load", "load": 2, "per_mille": 900 }),
+        json!({ "how": "one-search" }),
+    ];
+    for (seed, fault) in (1..).zip(faults) {
+        assert_ends(fault, Vec::new(), seed, ToldEnd::Returned);
+    }
+}
+
+/// A member that is cut off from everyone, just before the time at which a sound version takes
+/// over, goes by what was before for as long as its lease lasts.
+fn one_is_cut_off_at_the_turn() -> Vec<Value> {
+    vec![at(ORDERED_AT + 8.9, json!({ "do": "cut", "a": ["q1"], "b": ["all"] }))]
+}
+
+#[test]
+fn an_end_is_told_only_when_no_member_goes_by_what_was_before() {
+    for seed in 1..4 {
+        assert_ends(json!({}), one_is_cut_off_at_the_turn(), seed, ToldEnd::Delivered);
+    }
+}
+
+fn assert_caught(variant: FaultyVariant, rule: u8, fault: &Value, others: &[Value]) {
+    for seed in 1..4 {
+        let world = played(fault.clone(), others.to_vec(), seed, Some(variant));
+        let counts = &world.rules.violation_counts;
+        assert!(counts.contains_key(&rule), "{variant:?}, seed {seed}: only {counts:?}");
+    }
+}
+
+#[test]
+fn requests_to_versions_that_are_not_in_force_are_caught() {
+    assert_caught(FaultyVariant::IgnoresVersions, 15, &json!({}), &[]);
+    let cut_off = one_is_cut_off_at_the_turn();
+    assert_caught(FaultyVariant::TellsEndsEarly, 15, &json!({}), &cut_off);
+}
+
+#[test]
+fn too_much_exposure_is_caught() {
+    let late = json!({ "how": "late", "after_ms": 6_000 });
+    assert_caught(FaultyVariant::NoExposureLimit, 16, &late, &[]);
+}
+
+#[test]
+fn a_bad_version_that_is_used_on_is_caught() {
+    assert_caught(FaultyVariant::NeverReturns, 17, &json!({ "how": "errors" }), &[]);
+}
