--- a/crates/server/src/testbed/control_listener.rs
+++ b/crates/server/src/testbed/control_listener.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -77,7 +78,7 @@
         .map(|l| {
             let l = l.borrow();
             json!({
-                "leaf": l.name, "service": l.service.name, "zone": l.zone,
+                "leaf": l.name, "service": l.service.name, "zone": l.zone, "version": l.version,
                 "addr": l.addr.to_string(), "alive": l.alive.is_some(), "leaving": l.leaving,
                 "live": l.live, "worst_pct": l.worst_pct, "ran": l.ran,
                 "misdirected": l.misdirected, "reached": l.reached, "changed": l.changed,
@@ -166,28 +167,21 @@
     ms: u64,
     val: &Value,
 ) -> Result<Value, OrderError> {
-    let mode = match order {
-        "good" => Mode::Good,
-        "slow" => Mode::Slow(ms),
-        "dark" => Mode::Dark,
-        "pauses" => {
-            Mode::Pauses { every: val["every"].as_u64().unwrap_or(3_000).max(1), pause: ms }
-        }
-        "garbage" => Mode::Garbage,
-        "cut-short" => Mode::CutShort,
-        "disorder" => Mode::Disorder,
-        "no-postmark" => Mode::NoPostmark,
-        "two-postmarks" => Mode::TwoPostmarks,
-        "stale-postmark" => Mode::StalePostmark,
-        "wrong-cut" => Mode::WrongCut,
-        "overlong" => Mode::Overlong,
-        "unrun" => Mode::Unrun,
+    if order == "new-version" {
+        return new_version(backends, leaf, ms, val).await;
+    }
+    if let Some(mode) = mode(order, ms, val) {
+        let mut l = leaf.borrow_mut();
+        l.mode = mode;
+        return Ok(json!(l.name));
+    }
+    match order {
         "leave" | "leave-unseen" => {
             let mut l = leaf.borrow_mut();
             l.leaving = true;
             l.tells_leaving = order == "leave";
             l.left_at = Some(Instant::now());
-            return Ok(json!(l.name));
+            Ok(json!(l.name))
         }
         "kill" | "restart" | "reuse" => {
             let (mut service, zone, addr) = {
@@ -203,11 +197,52 @@
                 service.name = val["by"].as_str().unwrap_or("stranger").to_string();
             }
             let got = start_leaf(backends, service, &zone, addr, Duration::ZERO).await;
-            return Ok(json!(got?));
+            Ok(json!(got?))
         }
-        other => return Err(OrderError::Unknown(other.to_string())),
+        other => Err(OrderError::Unknown(other.to_string())),
+    }
+}
+
+/// The mode that a word names, if it names one.
+fn mode(word: &str, ms: u64, val: &Value) -> Option<Mode> {
+    Some(match word {
+        "good" => Mode::Good,
+        "slow" => Mode::Slow(ms),
+        "dark" => Mode::Dark,
+        "pauses" => {
+            Mode::Pauses { every: val["every"].as_u64().unwrap_or(3_000).max(1), pause: ms }
+        }
+        "garbage" => Mode::Garbage,
+        "cut-short" => Mode::CutShort,
+        "disorder" => Mode::Disorder,
+        "no-postmark" => Mode::NoPostmark,
+        "two-postmarks" => Mode::TwoPostmarks,
+        "stale-postmark" => Mode::StalePostmark,
+        "wrong-cut" => Mode::WrongCut,
+        "overlong" => Mode::Overlong,
+        "unrun" => Mode::Unrun,
+        _ => return None,
+    })
+}
+
+/// Starts a leaf of another version beside one, in the mode that the order names.
+async fn new_version(
+    backends: &Shared,
+    leaf: &Rc<RefCell<Leaf>>,
+    ms: u64,
+    val: &Value,
+) -> Result<Value, OrderError> {
+    let (service, zone) = {
+        let l = leaf.borrow();
+        (l.service.clone(), l.zone.clone())
     };
-    let mut l = leaf.borrow_mut();
-    l.mode = mode;
-    Ok(json!(l.name))
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let age = Duration::from_millis(service.ramp_ms);
+    let name = start_leaf(backends, service, &zone, address, age).await?;
+    if let Some(leaf) = backends.borrow().leafs.get(&name) {
+        let mut leaf = leaf.borrow_mut();
+        leaf.version = val["version"].as_str().unwrap_or("v2").to_string();
+        leaf.mode = mode(val["mode"].as_str().unwrap_or("good"), ms, val).unwrap_or(Mode::Good);
+    }
+    Ok(json!(name))
 }
--- a/crates/server/src/testbed/mock_backends/leaf.rs
+++ b/crates/server/src/testbed/mock_backends/leaf.rs
@@ -37,6 +37,8 @@
     pub service: Service,
     pub addr: SocketAddr,
     pub zone: String,
+    /// The version of its software, empty if the list does not tell it.
+    pub version: String,
     pub mode: Mode,
     pub leaving: bool,
     /// Whether it tells who asks it that it leaves; the list shows it in any case.
--- a/crates/server/src/testbed/mock_backends/mod.rs
+++ b/crates/server/src/testbed/mock_backends/mod.rs
@@ -78,12 +78,16 @@
             .filter(|leaf| leaf.borrow().alive.is_some())
             .map(|leaf| {
                 let leaf = leaf.borrow();
-                json!({
+                let mut entry = json!({
                     "leaf": leaf.name, "service": leaf.service.name,
                     "addr": leaf.addr.to_string(),
                     "labels": { "zone": leaf.zone, "cut": leaf.service.cut,
                                 "state": if leaf.leaving { "leaving" } else { "ready" } },
-                })
+                });
+                if !leaf.version.is_empty() {
+                    entry["labels"]["version"] = json!(leaf.version);
+                }
+                entry
             })
             .collect();
         json!({ "leafs": leafs })
@@ -125,6 +129,7 @@
         service,
         addr,
         zone: zone.to_string(),
+        version: String::new(),
         mode: Mode::Good,
         leaving: false,
         tells_leaving: true,
--- /dev/null
+++ b/crates/server/tests/rollouts.rs
@@ -0,0 +1,138 @@
+//! Rollouts on real processes under load: a sound version is delivered; one that answers garbage is
+//! returned while the leader is killed, and gets its share of requests at most.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code)] // Each test file uses a part of it.
+mod common;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use common::block;
+use googletest::prelude::*;
+use grebepath_runtime::http::client::HttpClient;
+use grebepath_simulator::spec;
+use serde_json::json;
+use testbed::callers::{Seen, load, report};
+use testbed::local_cluster::{self, LocalCluster};
+
+const SERVICE: &str = "mohalla-notices-w48-1";
+/// Share of the deployment's load that the callers send.
+const LOAD: f64 = 0.5;
+/// How long a rollout may take, as it is ordered.
+const OVER_S: &str = "10";
+/// How long anything is waited for.
+const LONG: Duration = Duration::from_secs(25);
+
+/// Runs grebectl; gives its exit code and output.
+fn ctl(f: &LocalCluster, args: &[&str]) -> (i32, String) {
+    let at: Vec<String> = f.doors.iter().map(|door| door.to_string()).collect();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_grebectl"))
+        .env("GREBE_AT", at.join(","))
+        .args(args)
+        .output()
+        .unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+}
+
+fn start(f: &LocalCluster, version: &str) -> (i32, String) {
+    ctl(f, &["rollout", "start", "--over", OVER_S, SERVICE, version])
+}
+
+/// Waits until a rollout has ended, and gives its line.
+async fn ended(f: &LocalCluster) -> String {
+    let line = || ctl(f, &["rollout", "status", SERVICE]).1;
+    let is_over = || async { line().contains("delivered") || line().contains("returned") };
+    assert!(local_cluster::until(LONG, is_over).await, "{}", line());
+    line()
+}
+
+/// Requests that leafs of the service have run, by version.
+async fn ran(f: &LocalCluster, version: &str) -> u64 {
+    let state = f.ask_backends("/state").await.unwrap();
+    let leafs = state["leafs"].as_array().unwrap().iter();
+    let of_version = leafs.filter(|l| l["service"] == SERVICE && l["version"] == version);
+    of_version.map(|leaf| leaf["ran"].as_u64().unwrap()).sum()
+}
+
+async fn start_leafs(f: &LocalCluster, version: &str, mode: &str) {
+    // Beside those that stand without a version, which the deployment begins with.
+    let order = json!({ "do": "new-version", "service": SERVICE, "count": 4, "version": version,
+                        "mode": mode });
+    f.order(order).await.unwrap();
+}
+
+async fn sound_version_is_delivered(f: &LocalCluster) {
+    start_leafs(f, "v2", "good").await;
+    // Nobody has ordered it: once the list shows the leafs they get nothing.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    expect_that!(ran(f, "v2").await, eq(0));
+    let (code, out) = start(f, "v2");
+    expect_that!(code, eq(0), "{out}");
+    expect_that!(start(f, "v3").0, eq(1), "another one while it goes on");
+    expect_that!(start(f, "v2").0, eq(0), "the same again");
+    let line = ended(f).await;
+    expect_that!(line, contains_substring("delivered (delivered, found-good)"));
+    let before = ran(f, "").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    expect_that!(ran(f, "").await, eq(before), "the old version gets nothing any more");
+    expect_that!(ran(f, "v2").await, gt(0));
+}
+
+async fn bad_version_is_returned(f: &mut LocalCluster) {
+    start_leafs(f, "v3", "garbage").await;
+    let before = ran(f, "v2").await;
+    let (code, out) = start(f, "v3");
+    expect_that!(code, eq(0), "{out}");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let leader = f.config_leader().await.unwrap();
+    f.controllers[leader].kill();
+    let line = ended(f).await;
+    f.controllers[leader].start().unwrap();
+    expect_that!(line, contains_substring("returned (returned, found-bad)"));
+    let (tried, served) = (ran(f, "v3").await, ran(f, "v2").await - before);
+    expect_that!(tried, gt(0));
+    expect_that!(tried, le((tried + served) / 10 + 50));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    expect_that!(ran(f, "v3").await, eq(tried), "the bad version gets nothing any more");
+    let (_, history) = ctl(f, &["rollout", "history", SERVICE]);
+    expect_that!(history, contains_substring("to v2: delivered"));
+    expect_that!(history, contains_substring("to v3: returned"));
+}
+
+#[googletest::test]
+fn sound_versions_are_delivered_and_bad_ones_returned_under_load() {
+    block(async {
+        let layout = common::layout("rollouts", "mohalla", 3);
+        let spec = layout.deploy.join("mohalla.standins.json").display().to_string();
+        let spec = spec::read(&spec).unwrap();
+        common::empty_folder(&layout);
+        let mut f = LocalCluster::up(layout).await.unwrap();
+        common::all_ready(&f).await;
+        let seen = Rc::new(RefCell::new(Seen::default()));
+        let targets = Rc::new(RefCell::new(f.fronts.clone()));
+        let far = Instant::now() + Duration::from_secs(600);
+        let mut callers = Vec::new();
+        for (seed, kind) in (0..).zip(spec.kinds.iter().cloned()) {
+            let (targets, seen) = (targets.clone(), seen.clone());
+            let calls = load(HttpClient::new(32), kind, LOAD, targets, seen, seed, far);
+            callers.push(tokio::task::spawn_local(calls));
+        }
+        sound_version_is_delivered(&f).await;
+        bad_version_is_returned(&mut f).await;
+        let (code, out) = ctl(&f, &["rollout", "abort", "mohalla-alerts-w48-0"]);
+        expect_that!(code, eq(1), "{out}");
+        for caller in callers {
+            caller.abort();
+        }
+        // What was under way ends before the leafs' log is read.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let runs = f.ask_backends("/runs").await.unwrap();
+        let report = report(&seen.borrow(), runs.as_array().unwrap_or(&Vec::new()));
+        expect_that!(report["violations"], eq(&json!(0)), "{report}");
+        expect_that!(report["claims"].as_u64(), some(gt(0)), "{report}");
+    });
+}
