--- a/crates/simulator/src/world/faulty_variant.rs
+++ b/crates/simulator/src/world/faulty_variant.rs
@@ -54,6 +54,8 @@
     NeverReturns,
     /// Operators are told that a rollout has ended as soon as it has turned.
     TellsEndsEarly,
+    /// Of operators who look again, every second one is told what stood before the end.
+    AnswersOldRollouts,
     /// Orders without id and base are carried out under an id that is made up for each.
     MakesUpRequestIds,
     /// A controller that is asked to stop ends before its successor holds the data.
--- a/crates/simulator/src/world/rollouts.rs
+++ b/crates/simulator/src/world/rollouts.rs
@@ -115,7 +115,7 @@
                 self.rollout_operators[operator].is_ordered = true;
             }
             Some(OperationResult::Rollout(Some(rollout))) => {
-                let end = self.told_end(&rollout);
+                let end = self.told_end(operator, &rollout);
                 self.note_told(operator, end);
             }
             _ => {}
@@ -126,7 +126,11 @@
     }
 
     /// What an operator reads in an answer.
-    fn told_end(&self, rollout: &Rollout) -> Option<ToldEnd> {
+    fn told_end(&self, operator: usize, rollout: &Rollout) -> Option<ToldEnd> {
+        let is_second_look = self.rollout_operators[operator].looks_left % 2 == 1;
+        if self.faulty_variant == Some(FaultyVariant::AnswersOldRollouts) && is_second_look {
+            return None;
+        }
         let tells_early = self.faulty_variant == Some(FaultyVariant::TellsEndsEarly);
         match rollout.phase() {
             RolloutPhase::Delivered => Some(ToldEnd::Delivered),
--- a/crates/simulator/tests/rollouts.rs
+++ b/crates/simulator/tests/rollouts.rs
@@ -97,3 +97,8 @@
 fn a_bad_version_that_is_used_on_is_caught() {
     assert_caught(FaultyVariant::NeverReturns, 17, &json!({ "how": "errors" }), &[]);
 }
+
+#[test]
+fn an_end_that_does_not_stand_is_caught() {
+    assert_caught(FaultyVariant::AnswersOldRollouts, 18, &json!({ "how": "errors" }), &[]);
+}
