--- a/crates/server/src/grebectl/rollouts.rs
+++ b/crates/server/src/grebectl/rollouts.rs
@@ -1,5 +1,8 @@
 //! The verbs of rollouts.
 
+use std::collections::BTreeSet;
+
+use grebepath_core::config::route::Route;
 use grebepath_core::http_api::rollout::ROLLOUTS;
 use grebepath_runtime::http::client::HttpClient;
 use hyper::Method;
@@ -62,6 +65,15 @@
     Ok(EXIT_OK)
 }
 
+/// The rollouts of the services that a route's shards are asked of.
+pub async fn of_plan(args: &Args, http: &HttpClient, route: &Route) -> Result<Value, Failure> {
+    let pools = route.shards.iter().flat_map(|shard| &shard.pools);
+    let services: BTreeSet<&str> = pools.map(|pool| pool.service.as_str()).collect();
+    let mut rollouts = listed(&read(args, http, ROLLOUTS).await?["rollouts"]);
+    rollouts.retain(|rollout| services.contains(text(rollout, "service")));
+    Ok(Value::Array(rollouts))
+}
+
 fn listed(value: &Value) -> Vec<Value> {
     value.as_array().cloned().unwrap_or_default()
 }
@@ -74,7 +86,8 @@
     rollout[field].as_u64().unwrap_or(0) as f64 / 1e3
 }
 
-fn status_line(rollout: &Value) -> String {
+/// A rollout in one line, for people.
+pub fn status_line(rollout: &Value) -> String {
     format!(
         "{} to {}: {} ({}, {}), {:.1} s of {:.1} s",
         text(rollout, "service"),
--- a/crates/server/src/grebectl/show.rs
+++ b/crates/server/src/grebectl/show.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::controller_client::RequestError;
+use crate::rollouts;
 
 /// Prints findings.
 pub fn wrong(all: &[Diagnostic], as_json: bool) {
@@ -85,6 +86,9 @@
         }
         out.push('\n');
     }
+    for rollout in list(&p["rollouts"]) {
+        out += &format!("  rollout of {}\n", rollouts::status_line(rollout));
+    }
     out
 }
 
--- a/crates/server/src/grebectl/verbs.rs
+++ b/crates/server/src/grebectl/verbs.rs
@@ -156,7 +156,10 @@
         let text = format!("no search `{search}`; known are {}", known.join(", "));
         return Err(Failure::not_applied(text));
     };
-    let plan = show::plan(route, key);
+    let mut plan = show::plan(route, key);
+    if file.is_none() {
+        plan["rollouts"] = rollouts::of_plan(args, http, route).await?;
+    }
     if args.json {
         println!("{plan}");
     } else {
--- a/crates/server/tests/rollouts.rs
+++ b/crates/server/tests/rollouts.rs
@@ -98,6 +98,9 @@
     expect_that!(tried, le((tried + served) / 10 + 50));
     tokio::time::sleep(Duration::from_secs(2)).await;
     expect_that!(ran(f, "v3").await, eq(tried), "the bad version gets nothing any more");
+    let (code, plan) = ctl(f, &["explain", "browse"]);
+    expect_that!(code, eq(0), "{plan}");
+    expect_that!(plan, contains_substring(format!("rollout of {SERVICE} to v3: returned")));
     let (_, history) = ctl(f, &["rollout", "history", SERVICE]);
     expect_that!(history, contains_substring("to v2: delivered"));
     expect_that!(history, contains_substring("to v3: returned"));
