--- a/crates/core/examples/order_cost.rs
+++ b/crates/core/examples/order_cost.rs
@@ -65,9 +65,9 @@
         for number in begin..end {
             let change = json!({ "zones": [{ "name": "z", "state": "open" }],
                 "terms": { "after": number + 1, "edition": number + 2 } });
-            let deed = Operation::Patch(change.to_string().into_bytes());
+            let operation = Operation::Patch(change.to_string().into_bytes());
             let request = grebepath_core::digest::digest(&number.to_le_bytes());
-            operate(&mut controller, &request, deed);
+            operate(&mut controller, &request, operation);
         }
         print(&controller, begin, end);
     }
@@ -138,11 +138,11 @@
 }
 
 /// Sends an order and waits until it is accepted.
-fn operate(controller: &mut Controller, request: &str, deed: Operation) {
+fn operate(controller: &mut Controller, request: &str, operation: Operation) {
     let op = controller.next_op;
     controller.next_op += 1;
     let request = request.to_string();
-    feed(controller, Event::Operate { op, request, expected_revision: None, operation: deed });
+    feed(controller, Event::Operate { op, request, expected_revision: None, operation });
     while controller.accepted <= op {
         wake(controller);
     }
--- a/crates/core/tests/cluster/mod.rs
+++ b/crates/core/tests/cluster/mod.rs
@@ -26,7 +26,7 @@
     /// A disk finishes a write.
     Sync { node: usize, partition: PartitionId, token: u64 },
     /// An operator's call comes to a controller.
-    Call { node: usize, op: u64, request: String, expect: Option<u64>, deed: Operation },
+    Call { node: usize, op: u64, request: String, expect: Option<u64>, operation: Operation },
 }
 
 /// A write that was handed to a disk.
@@ -192,11 +192,11 @@
                 give(cluster, to, event);
             }
         }
-        Work::Call { node, op, request, expect, deed } => {
+        Work::Call { node, op, request, expect, operation } => {
             give(
                 cluster,
                 node,
-                Event::Operate { op, request, expected_revision: expect, operation: deed },
+                Event::Operate { op, request, expected_revision: expect, operation },
             );
         }
         Work::Sync { node, partition, token } => {
@@ -282,12 +282,12 @@
     node: usize,
     request: &str,
     expect: Option<u64>,
-    deed: Operation,
+    operation: Operation,
 ) -> u64 {
     let op = cluster.next_op;
     cluster.next_op += 1;
     let request = request.to_string();
-    perform(cluster, Work::Call { node, op, request, expect, deed });
+    perform(cluster, Work::Call { node, op, request, expect, operation });
     op
 }
 
@@ -297,9 +297,9 @@
     node: usize,
     request: &str,
     expect: Option<u64>,
-    deed: Operation,
+    operation: Operation,
 ) -> Option<OperationResult> {
-    let op = call(cluster, node, request, expect, deed);
+    let op = call(cluster, node, request, expect, operation);
     pass_until(cluster, 12 * SECOND, |c| c.told.contains_key(&op));
     cluster.told.get(&op).cloned()
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -56,10 +56,10 @@
 pub fn together(o: &mut One, asks: Vec<(&str, Operation)>) -> Vec<OperationResult> {
     let first = o.ops;
     let n = asks.len() as u64;
-    for (request, deed) in asks {
+    for (request, operation) in asks {
         let (op, request) = (o.ops, request.to_string());
         o.ops += 1;
-        feed(o, Event::Operate { op, request, expected_revision: None, operation: deed });
+        feed(o, Event::Operate { op, request, expected_revision: None, operation });
     }
     for _ in 0..1_000 {
         if o.done.len() as u64 == n {
@@ -75,8 +75,8 @@
 }
 
 /// Gives one request to the seat and waits for its outcome.
-pub fn operate(o: &mut One, request: &str, deed: Operation) -> OperationResult {
-    together(o, vec![(request, deed)]).remove(0)
+pub fn operate(o: &mut One, request: &str, operation: Operation) -> OperationResult {
+    together(o, vec![(request, operation)]).remove(0)
 }
 
 /// The configuration as the owner reads it back.
--- a/crates/core/tests/forwarding.rs
+++ b/crates/core/tests/forwarding.rs
@@ -70,7 +70,7 @@
     ClusterView::new(7, Arc::new(RoutingTable::build(&conf).unwrap()), leafs)
 }
 
-/// A desk with a saved quota of second tries for every service.
+/// An engine with a saved quota of second tries for every service.
 fn open(w: &World) -> QueryEngine {
     let mut d = QueryEngine::new("q", "a", 1, BOOT);
     d.step(BOOT, Event::ClusterView(Arc::new(seen(w))));
@@ -108,7 +108,7 @@
 
 const FOUR: [(&str, usize); 4] = [("a", 3), ("b", 3), ("c", 3), ("d", 3)];
 
-fn parcel(host: &str, path: &str) -> ForwardedRequest {
+fn forwarded_request(host: &str, path: &str) -> ForwardedRequest {
     ForwardedRequest {
         id: "id-1".into(),
         method: "POST".into(),
@@ -122,7 +122,7 @@
 }
 
 fn hand(d: &mut QueryEngine, now: Tick, call: u64, host: &str, path: &str) -> Vec<Command> {
-    d.step(now, Event::Forward { call, request: Arc::new(parcel(host, path)) })
+    d.step(now, Event::Forward { call, request: Arc::new(forwarded_request(host, path)) })
 }
 
 fn call(d: &mut QueryEngine, now: Tick, call: u64) -> Vec<OutgoingAttempt> {
@@ -138,10 +138,10 @@
         .find_map(|c| if let Command::Respond { outcome, .. } = c { Some(outcome) } else { None })
 }
 
-fn bounced(todo: &[Command]) -> Rejection {
+fn rejection(todo: &[Command]) -> Rejection {
     match told(todo) {
         Some(Outcome::Rejected(b)) => b.clone(),
-        other => panic!("no bounce: {other:?}"),
+        other => panic!("no rejection: {other:?}"),
     }
 }
 
@@ -225,7 +225,7 @@
         let todo = hand(&mut d, NOW, 1, host, path);
         match want {
             None => expect_that!(
-                bounced(&todo).reason,
+                rejection(&todo).reason,
                 eq(RejectionReason::UnknownRoute),
                 "{host}{path}"
             ),
@@ -243,7 +243,7 @@
     let mut d = open(&world(&[("p", 2)], vec![pass(json!({}))]));
     let list = call(&mut d, NOW, 9);
     let p = list[0].forwarded.clone().unwrap();
-    let want = parcel("h.example", "/x/y");
+    let want = forwarded_request("h.example", "/x/y");
     expect_that!(
         (&p.id, &p.method, &p.path_and_query),
         eq((&want.id, &want.method, &want.path_and_query))
@@ -287,7 +287,7 @@
     let first = call(&mut d, NOW, 3);
     let again = sent(reply(&mut d, NOW + 5, &first[0], Err(AttemptFailure::Truncated)));
     let todo = reply(&mut d, NOW + 9, &again[0], Err(AttemptFailure::ReplyTooLarge));
-    let b = bounced(&todo);
+    let b = rejection(&todo);
     expect_that!((b.reason, b.executed), eq((RejectionReason::BelowQuorum, true)));
 }
 
@@ -311,7 +311,7 @@
             spoil(&mut got);
             let todo = reply(&mut d, NOW + 5, &list[0], Ok(got));
             if once {
-                expect_that!(bounced(&todo).executed, eq(true), "{name}");
+                expect_that!(rejection(&todo).executed, eq(true), "{name}");
             } else {
                 expect_that!(told(&todo).is_none(), eq(true), "{name}");
                 expect_that!(sent(todo).len(), eq(1), "{name}");
@@ -340,7 +340,7 @@
     let mut got = raw(421, &[], b"");
     got.headers.foreign = true;
     let todo = reply(&mut d, NOW + 5, &list[0], Ok(got));
-    expect_that!(bounced(&todo).executed, eq(true));
+    expect_that!(rejection(&todo).executed, eq(true));
     expect_that!(sent(todo).len(), eq(0));
 }
 
@@ -353,14 +353,14 @@
             let mut d = open(&world(&[("p", 2)], vec![search]));
             let list = call(&mut d, NOW, 1);
             let todo = reply(&mut d, NOW + 5, &list[0], Ok(raw(status, &["st"], b"")));
-            expect_that!(bounced(&todo).executed, eq(true), "{status}");
+            expect_that!(rejection(&todo).executed, eq(true), "{status}");
         }
     }
 }
 
 /// What a reply to a once-only call may be, and whether the leaf may have run it.
-fn any_reply(luck: &mut Random, s: &OutgoingAttempt) -> (Got, bool) {
-    match luck.below(14) {
+fn any_reply(random: &mut Random, s: &OutgoingAttempt) -> (Got, bool) {
+    match random.below(14) {
         0 | 1 => (Ok(good(s)), true),
         2 => (Err(AttemptFailure::Truncated), true),
         3 => (Err(AttemptFailure::DeadlineExceeded), true),
@@ -381,9 +381,9 @@
     // Guards against work that is done twice.
     let (mut again, mut promised) = (0, 0);
     for seed in 0..3_000 {
-        let mut luck = Random::new(seed);
-        let attempts = 1 + luck.below(4);
-        let n = 1 + luck.below(6) as usize;
+        let mut random = Random::new(seed);
+        let attempts = 1 + random.below(4);
+        let n = 1 + random.below(6) as usize;
         let search = pass(json!({ "once": true, "attempts": attempts }));
         let mut d = open(&world(&[("p", n)], vec![search]));
         let mut now = NOW;
@@ -397,8 +397,8 @@
             leafs.push(s.leaf.clone());
             sends += 1;
             // However long the leaf is silent, nobody else is asked meanwhile.
-            for _ in 0..luck.below(5) {
-                now += ms(luck.below(200));
+            for _ in 0..random.below(5) {
+                now += ms(random.below(200));
                 let todo = wake(&mut d, now);
                 end = told(&todo).cloned().or(end);
                 assert!(sent(todo).is_empty(), "seed {seed}: a second beside the first");
@@ -407,7 +407,7 @@
                 ran = true;
                 break;
             }
-            let (got, may) = any_reply(&mut luck, &s);
+            let (got, may) = any_reply(&mut random, &s);
             ran |= may;
             let todo = reply(&mut d, now, &s, got);
             end = told(&todo).cloned();
@@ -564,22 +564,22 @@
 fn joined_bodies_are_the_greatest_records_of_all_parts() {
     // Guards against lost, doubled or misplaced records, and half ones.
     for seed in 0..2_000 {
-        let mut luck = Random::new(seed);
-        let width = [1usize, 3, 16, 16, 16][luck.below(5) as usize];
-        let top = luck.below(30) as usize;
+        let mut random = Random::new(seed);
+        let width = [1usize, 3, 16, 16, 16][random.below(5) as usize];
+        let top = random.below(30) as usize;
         // Few different bytes, so that equal records are common.
-        let kinds = 1 + luck.below(4);
+        let kinds = 1 + random.below(4);
         let mut all: Vec<Vec<u8>> = Vec::new();
         let mut partitions: Vec<Vec<u8>> = Vec::new();
-        for _ in 0..luck.below(6) {
+        for _ in 0..random.below(6) {
             let mut partition = Vec::new();
-            for _ in 0..luck.below(20) {
-                let rec: Vec<u8> = (0..width).map(|_| (luck.below(kinds) * 85) as u8).collect();
+            for _ in 0..random.below(20) {
+                let rec: Vec<u8> = (0..width).map(|_| (random.below(kinds) * 85) as u8).collect();
                 partition.extend(&rec);
                 all.push(rec);
             }
             // A rest that is no record, made of the greatest bytes.
-            partition.extend(vec![0xff; luck.below(width as u64) as usize]);
+            partition.extend(vec![0xff; random.below(width as u64) as usize]);
             partitions.push(partition);
         }
         all.sort_by(|a, b| b.cmp(a));
@@ -703,7 +703,7 @@
         d.step(NOW + 1, Event::ClusterView(Arc::new(seen(&w))));
         expect_that!(sent(wake(&mut d, NOW + ms(50))).len(), eq(0));
         let todo = reply(&mut d, NOW + ms(60), &list[0], Err(AttemptFailure::Truncated));
-        expect_that!(bounced(&todo).executed, eq(true));
+        expect_that!(rejection(&todo).executed, eq(true));
         expect_that!(sent(todo).len(), eq(0));
     }
 }
@@ -755,7 +755,7 @@
     expect_that!(d.next_due(), some(eq(hold)));
     expect_that!(told(&wake(&mut d, hold - 1)).is_none(), eq(true));
     let todo = wake(&mut d, hold);
-    let b = bounced(&todo);
+    let b = rejection(&todo);
     expect_that!((b.reason, b.executed), eq((RejectionReason::NoCapacity, false)));
     expect_that!(b.retry_after, some(gt(0)));
     expect_that!(sent(todo).len(), eq(0));
@@ -773,20 +773,20 @@
         world(&[("a", 1), ("b", 1), ("c", 1), ("d", 0)], vec![joined(json!({ "quorum": 1.0 }))]);
     let mut d = open(&w);
     let todo = hand(&mut d, NOW, 1, "h.example", "/x/");
-    let b = bounced(&todo);
+    let b = rejection(&todo);
     expect_that!((b.reason, b.executed), eq((RejectionReason::NoLeaf, true)));
     // Their leafs are at work, and are not called off.
     expect_that!(d.attempts.len(), eq(3));
     // With no leaf at all nothing can have run.
     w.services = vec![("a", 0), ("b", 0), ("c", 0), ("d", 0)];
     let mut d = open(&w);
-    let b = bounced(&hand(&mut d, NOW, 1, "h.example", "/x/"));
+    let b = rejection(&hand(&mut d, NOW, 1, "h.example", "/x/"));
     expect_that!((b.reason, b.executed), eq((RejectionReason::NoLeaf, false)));
     // A leaf that is silent until the end may have run it.
     let mut d = open(&world(&[("p", 1)], vec![pass(json!({}))]));
     call(&mut d, NOW, 1);
     let todo = wake(&mut d, NOW + ms(800));
-    let b = bounced(&todo);
+    let b = rejection(&todo);
     expect_that!((b.reason, b.executed), eq((RejectionReason::DeadlineExceeded, true)));
 }
 
@@ -866,7 +866,7 @@
     // Guards against calls that are lost, told twice or held beyond their end,
     // and against leafs that count work which nobody has.
     for seed in 0..150 {
-        let mut luck = Random::new(seed);
+        let mut random = Random::new(seed);
         let mut w = world(
             &[("p", 4), ("a", 2), ("b", 2), ("c", 1), ("d", 2)],
             vec![
@@ -875,7 +875,7 @@
                 joined(json!({ "name": "join", "path": "/j/" })),
             ],
         );
-        w.slots = 1 + luck.below(3) as u32;
+        w.slots = 1 + random.below(3) as u32;
         let mut d = open(&w);
         let mut now = NOW;
         let mut out: Vec<OutgoingAttempt> = Vec::new();
@@ -884,33 +884,33 @@
         let mut steps = 0;
         while steps < 600 || !open.is_empty() {
             steps += 1;
-            let event = match luck.below(10) {
+            let event = match random.below(10) {
                 0..3 if steps < 600 => {
                     calls += 1;
-                    let path = ["/p/", "/o/", "/j/"][luck.below(3) as usize];
-                    let mut p = parcel("h.example", path);
-                    p.timeout = Some(ms(1 + luck.below(900)));
+                    let path = ["/p/", "/o/", "/j/"][random.below(3) as usize];
+                    let mut p = forwarded_request("h.example", path);
+                    p.timeout = Some(ms(1 + random.below(900)));
                     open.insert(calls, now + p.timeout.unwrap());
                     Event::Forward { call: calls, request: Arc::new(p) }
                 }
                 3..7 if !out.is_empty() => {
-                    let s = out.swap_remove(luck.below(out.len() as u64) as usize);
-                    Event::AttemptEnded { attempt: s.attempt, result: any_reply(&mut luck, &s).0 }
+                    let s = out.swap_remove(random.below(out.len() as u64) as usize);
+                    Event::AttemptEnded { attempt: s.attempt, result: any_reply(&mut random, &s).0 }
                 }
-                7 if luck.chance(1, 8) => {
-                    w.drained = ["none", "a", "b"][luck.below(3) as usize];
+                7 if random.chance(1, 8) => {
+                    w.drained = ["none", "a", "b"][random.below(3) as usize];
                     Event::ClusterView(Arc::new(seen(&w)))
                 }
-                8 if luck.chance(1, 8) && !open.is_empty() => {
-                    let i = luck.next_u64() as usize % open.len();
+                8 if random.chance(1, 8) && !open.is_empty() => {
+                    let i = random.next_u64() as usize % open.len();
                     let gone = *open.keys().nth(i).unwrap();
                     open.remove(&gone);
                     Event::CallerGone { call: gone }
                 }
                 _ => {
-                    // Time goes on, but never past what the desk waits for.
+                    // Time goes on, but never past what the engine waits for.
                     let due = d.next_due().unwrap_or(Tick::MAX);
-                    now = (now + ms(luck.below(30))).min(due.max(now));
+                    now = (now + ms(random.below(30))).min(due.max(now));
                     Event::Timer
                 }
             };
