--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod net;
 pub mod oracle;
 pub mod report;
+mod restart_check;
 pub mod rollout_rules;
 pub mod rules;
 pub mod scale_model;
