--- a/crates/simulator/tests/rollouts_drawn.rs
+++ b/crates/simulator/tests/rollouts_drawn.rs
@@ -11,8 +11,9 @@
 
 /// Queriers of the fleet, as `common::scenario` has them.
 const QUERIERS: u64 = 7;
-/// Services that are rolled out, both asked by several kinds of calls.
-const SERVICES: [&str; 2] = ["mohalla-notices-w48-1", "mohalla-alerts-w48-0"];
+/// Services that are rolled out, each with a search that asks it.
+const SERVICES: [(&str, &str); 2] =
+    [("mohalla-notices-w48-1", "browse"), ("mohalla-alerts-w48-0", "alert")];
 /// Rules that rollouts may break.
 const ROLLOUT_RULES: [u8; 4] = [15, 16, 17, 18];
 
@@ -57,8 +58,12 @@
         (400..900u64).prop_map(|part| json!({ "how": "one-search", "per_mille": part })),
     ];
     (0..SERVICES.len(), 20..60u64, 10..16u64, how).prop_map(|(service, tenths, over_s, how)| {
-        let mut rollout =
-            json!({ "do": "rollout", "service": SERVICES[service], "over_s": over_s });
+        let (service, search) = SERVICES[service];
+        let mut rollout = json!({ "do": "rollout", "service": service, "over_s": over_s });
+        // A version that fails for a search which never asks it is sound.
+        if how["how"] == "one-search" {
+            rollout["search"] = json!(search);
+        }
         if let (Some(rollout), Some(how)) = (rollout.as_object_mut(), how.as_object()) {
             rollout.extend(how.clone());
         }
