Tell queriers the exposure bounds by the environment, not by the template

Not every deployment has these bounds, so the template stays as it was; the role's env gives both, empty where there are none. A setting that neither a flag nor the file gives is read from GREBE_ and its name in capitals, with that as its place in diagnostics.

--- a/crates/runtime/src/settings/reader.rs
+++ b/crates/runtime/src/settings/reader.rs
@@ -12,6 +12,8 @@
 
 /// A day.
 const SECONDS_MAX: f64 = 86_400.0;
+/// Before a setting's name in capitals, in the environment.
+const ENVIRONMENT_PREFIX: &str = "GREBE_";
 /// How callers, leafs and operators may speak: as ours or as the platform's.
 const DIALECTS: [&str; 2] = ["own", "platform"];
 
@@ -55,10 +57,9 @@
         if let Some(val) = self.flags.get(name) {
             return Some((format!("--{name}"), val.clone()));
         }
+        let Some(value) = self.file.get(name) else { return from_environment(name) };
         let place = format!("params.{name}");
-        match self.file.get(name)? {
-            // A template writes this for what its platform does not tell.
-            Value::Null => None,
+        match value {
             Value::String(s) => Some((place, s.clone())),
             Value::Number(n) => Some((place, n.to_string())),
             Value::Bool(b) => Some((place, b.to_string())),
@@ -306,3 +307,11 @@
     eprintln!("{}", grebepath_core::diagnostic::lines(diagnostics));
     std::process::exit(EXIT_SETTINGS);
 }
+
+/// The setting by the environment variable of its name, with the variable as its place. An empty
+/// one is not given: a platform that fills variables leaves empty what it does not tell.
+fn from_environment(name: &str) -> Option<(String, String)> {
+    let variable = format!("{ENVIRONMENT_PREFIX}{}", name.to_uppercase());
+    let value = std::env::var(&variable).ok().filter(|value| !value.is_empty())?;
+    Some((variable, value))
+}
